--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"example.org/irisfold/balance"
+	"example.org/bellstream/balance"
 )
 
 // A dispatcher with one worker that has one free slot: the first job is sent
--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math"
 
-	"example.org/irisfold/balance"
+	"example.org/bellstream/balance"
 )
 
 // frame is one batch as it stands on the wire.
--- a/cmd/benchlink/host_test.go
+++ b/cmd/benchlink/host_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"example.org/irisfold/balance"
+	"example.org/bellstream/balance"
 )
 
 const start = `{"POWER_ON":{"salt":7,"options":{"me":0,"balancers":1,"zone":"z","membership_mode":"pushed",` +
--- a/cmd/benchlink/wire.go
+++ b/cmd/benchlink/wire.go
@@ -4,7 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"example.org/irisfold/balance"
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/settings"
 )
 
 var states = map[string]balance.WorkerState{
@@ -38,8 +39,23 @@
 
 // opening is an instance's first message.
 type opening struct {
-	Salt    json.Number `json:"salt"`
-	Options settings    `json:"options"`
+	Salt    json.Number     `json:"salt"`
+	Options json.RawMessage `json:"options"`
+}
+
+// powerOn starts an instance from its first message.
+func powerOn(m *opening) (*balance.Balancer, error) {
+	var seed uint64
+	if _, err := fmt.Sscan(m.Salt.String(), &seed); err != nil {
+		if i, err := m.Salt.Int64(); err == nil {
+			seed = uint64(i)
+		}
+	}
+	s, err := settings.Parse(m.Options)
+	if err != nil {
+		return nil, err
+	}
+	return balance.New(s.Config(), seed)
 }
 
 // listing is a numbered list of executors.
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,525 @@
+// Package dispatcher is the loop that alone owns the decision module and the
+// state of every request. Connections post what happened; the loop hands it
+// to balance.Balancer.Step in batches and carries the actions out on the
+// sockets.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/ingress"
+	"example.org/bellstream/internal/route"
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/wheel"
+)
+
+// Figures of the host, none of them a decision about jobs. Times are in seconds.
+const (
+	tick      = 0.004 // of the wheel; an answer's grace is 16 ms and more
+	queue     = 1024  // posts waiting for the loop
+	sweep     = 0.5   // between looks at idle connections
+	drainLook = 0.05  // between looks at what is left while draining
+	drainMost = 3.0   // of draining at most: SIGKILL comes 0.7 s after that or later
+	drainIdle = 1.0   // of draining at least: connections keep coming for 0.4 s
+	flush     = 0.3   // for the last answers to be written
+)
+
+// Egress is what the loop needs of the zone workers' side.
+type Egress interface {
+	Start(o *egress.Order, addr string, tell func(egress.News)) *egress.Hop
+	Probe(addr string, fields []string, tell func(egress.News))
+	Forget(addr string)
+	Sweep()
+}
+
+// Ingress is what the loop needs of the clients' side.
+type Ingress interface {
+	Taken() int
+	Open() int
+	CloseIdle(fresh time.Duration)
+}
+
+// Options are what a Dispatcher is made of.
+type Options struct {
+	Settings *settings.Settings
+	Seed     uint64
+	Known    []byte
+	Watch    func(ctx context.Context, seq int64, each func(*route.Update)) error
+	Egress   Egress
+	Phases   *Phases
+	Log      func(format string, args ...any)
+	Now      func() time.Time // the clock, monotonic
+}
+
+// Dispatcher joins the decision module to the sockets.
+type Dispatcher struct {
+	Options
+	base    time.Time
+	bal     *balance.Balancer
+	round   float64
+	ingress Ingress
+
+	posts chan any
+	done  chan struct{}
+
+	// The loop's own.
+	wheel   *wheel.Wheel[any]
+	table   *route.Table
+	held    map[string]*held
+	events  []balance.Event
+	last    float64 // the last step
+	watch   context.CancelFunc
+	watchNo int
+	ended   float64 // when draining began
+	most    float64 // how long it may take
+}
+
+// held is a request from its arrival until it is answered and no hop of it is out.
+type held struct {
+	req      *ingress.Request
+	deadline float64
+	hops     []*egress.Hop // by attempt; nil once its outcome was told
+	answered bool
+	timer    *wheel.Timer[any]
+}
+
+func (h *held) out() bool {
+	for _, p := range h.hops {
+		if p != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// What is posted to the loop, and what fires on its wheel.
+type (
+	arrived struct{ req *ingress.Request }
+	left    struct{ req *ingress.Request }
+	hopNews struct {
+		h    *held
+		n    int
+		news egress.News
+	}
+	probeNews struct {
+		host string
+		news egress.News
+	}
+	routeNews struct {
+		watch int
+		up    *route.Update // nil: the watch ended
+		err   error
+	}
+	stop     struct{}
+	wake     struct{} // a timer of the module
+	deadline struct{ h *held }
+	sweeping struct{}
+	looking  struct{} // at what is left while draining
+)
+
+// New makes a dispatcher. Nothing runs before Run.
+func New(o Options) (*Dispatcher, error) {
+	if o.Settings.Round < 0 || o.Settings.Round > 1 {
+		return nil, fmt.Errorf("round: %v is not a time from 0 to 1 s", o.Settings.Round)
+	}
+	b, err := balance.New(o.Settings.Config(), o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	d := &Dispatcher{Options: o, bal: b, base: o.Now(), round: o.Settings.Round,
+		posts: make(chan any, queue), done: make(chan struct{}),
+		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {}}
+	d.wheel = wheel.New[any](tick, d.clock())
+	for _, l := range o.Settings.Lanes {
+		d.most = max(d.most, l.HardLimit)
+	}
+	d.most = min(d.most, drainMost)
+	if len(o.Known) > 0 {
+		u, err := route.Parse(o.Known)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		d.table.Apply(u, d.clock())
+		r := u.Roster()
+		r.Kind = balance.RosterSaved
+		d.events = append(d.events, r)
+	}
+	return d, nil
+}
+
+// clock is Unix time in seconds, so that born_ms means the same; it follows
+// the monotonic clock from the start of the program on.
+func (d *Dispatcher) clock() float64 { return d.at(d.Now()) }
+
+func (d *Dispatcher) at(t time.Time) float64 {
+	return float64(d.base.UnixNano())/1e9 + t.Sub(d.base).Seconds()
+}
+
+func (d *Dispatcher) time(at float64) time.Time {
+	return d.base.Add(time.Duration((at - d.at(d.base)) * float64(time.Second)))
+}
+
+// post hands something to the loop, or drops it once the loop has ended.
+func (d *Dispatcher) post(p any) {
+	select {
+	case d.posts <- p:
+	case <-d.done:
+	}
+}
+
+// Arrive takes a request; it is owed one answer.
+func (d *Dispatcher) Arrive(r *ingress.Request) { d.post(arrived{r}) }
+
+// Leave tells that a request's client has left.
+func (d *Dispatcher) Leave(r *ingress.Request) { d.post(left{r}) }
+
+// Stop begins draining.
+func (d *Dispatcher) Stop() { d.post(stop{}) }
+
+// Run plays the loop until the dispatcher has drained after Stop.
+func (d *Dispatcher) Run(in Ingress) {
+	d.ingress = in
+	defer close(d.done)
+	defer func() { d.watch() }()
+	d.wheel.Set(d.clock()+sweep, sweeping{})
+	timer := time.NewTimer(0)
+	for {
+		now := d.clock()
+		d.turn(now)
+		if d.finished(now) {
+			return
+		}
+		timer.Reset(time.Duration((d.next() - d.clock()) * float64(time.Second)))
+		select {
+		case p := <-d.posts:
+			d.take(p)
+		case <-timer.C:
+		}
+		d.drain()
+	}
+}
+
+// drain takes in what else was posted, without waiting.
+func (d *Dispatcher) drain() {
+	for {
+		select {
+		case p := <-d.posts:
+			d.take(p)
+		default:
+			return
+		}
+	}
+}
+
+// next is when the loop has to look again if nothing is posted before: when
+// the wheel turns, or when the round for what has come in is over.
+func (d *Dispatcher) next() float64 {
+	at, ok := d.wheel.Next()
+	if !ok {
+		at = d.clock() + sweep
+	}
+	if len(d.events) > 0 {
+		at = min(at, d.last+d.round)
+	}
+	return at
+}
+
+// turn fires what is due and lets the module decide, at most once a round.
+func (d *Dispatcher) turn(now float64) {
+	var over []*held
+	for _, due := range d.wheel.Advance(now) {
+		switch x := due.(type) {
+		case wake:
+			d.events = append(d.events, balance.TimerFired{})
+		case deadline:
+			over = append(over, x.h)
+			d.expire(x.h)
+		case sweeping:
+			d.Egress.Sweep()
+			d.wheel.Set(now+sweep, sweeping{})
+		case looking:
+			// A connection that has not brought a request yet gets some time to do so.
+			d.ingress.CloseIdle(250 * time.Millisecond)
+			d.wheel.Set(now+drainLook, looking{})
+		}
+	}
+	if len(d.events) > 0 && (now >= d.last+d.round || len(over) > 0) {
+		d.step(now)
+	}
+	for _, h := range over {
+		d.overdue(h)
+	}
+}
+
+// expire ends the attempts of a request whose client gives up now.
+func (d *Dispatcher) expire(h *held) {
+	for n := range h.hops {
+		d.end(h, n, balance.TimedOut, nil)
+	}
+}
+
+// overdue answers a request that the module left open past its deadline. It
+// guards the one answer against a loop that was held up so long that the
+// module's own timer came too late.
+func (d *Dispatcher) overdue(h *held) {
+	if !h.answered {
+		d.Log("request %s: no decision by its deadline", h.req.ID)
+		d.events = append(d.events, balance.JobGone{ID: h.req.ID})
+		d.answer(h, ingress.Answer{Status: http.StatusGatewayTimeout})
+	}
+}
+
+// take turns a post into an event for the module.
+func (d *Dispatcher) take(p any) {
+	switch p := p.(type) {
+	case arrived:
+		d.arrive(p.req)
+	case left:
+		if h := d.held[p.req.ID]; h != nil && h.req == p.req && !h.answered {
+			d.events = append(d.events, balance.JobGone{ID: p.req.ID})
+			d.close(h)
+			for n := range h.hops {
+				d.end(h, n, balance.Cancelled, nil)
+			}
+		}
+	case hopNews:
+		d.hop(p)
+	case probeNews:
+		d.events = append(d.events, balance.ProbeDone{Worker: p.host, Outcome: p.news.Outcome, Report: p.news.Report})
+	case routeNews:
+		d.route(p)
+	case stop:
+		if d.Phases.Enter(Draining) {
+			d.ended = d.clock()
+			d.wheel.Set(d.ended, looking{})
+			d.Log("draining: %d requests held", len(d.held))
+		}
+	}
+}
+
+// arrive takes a request in. One whose id is held already is turned away, so
+// that the first is not disturbed.
+func (d *Dispatcher) arrive(r *ingress.Request) {
+	if d.held[r.ID] != nil {
+		r.Answer(ingress.Answer{Status: http.StatusConflict, Body: []byte("this Request-Id is in work\n")})
+		return
+	}
+	if d.Phases.Now() >= Closing {
+		r.Answer(ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter})
+		return
+	}
+	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout))}
+	d.held[r.ID] = h
+	h.timer = d.wheel.Set(h.deadline, deadline{h})
+	d.events = append(d.events, balance.JobArrived{ID: r.ID, Class: r.Class, Tenant: r.Tenant,
+		Left: h.deadline - d.clock(), Slots: r.Slots, Memory: r.Memory, Retry: r.Retry})
+}
+
+// hop takes news of an attempt. News that comes after the attempt was ended
+// from here finds no hop and is dropped.
+func (d *Dispatcher) hop(p hopNews) {
+	if p.h.hops[p.n] == nil {
+		return
+	}
+	if p.news.Outcome == "" {
+		d.events = append(d.events, balance.AttemptStarted{ID: p.h.req.ID, Attempt: p.n})
+		return
+	}
+	if p.news.Outcome == balance.Served {
+		d.answer(p.h, ingress.Answer{Status: http.StatusOK, Body: p.news.Result})
+	}
+	d.outcome(p.h, p.n, p.news.Outcome, p.news.Report)
+}
+
+// end abandons an attempt that is still out and reports the outcome.
+func (d *Dispatcher) end(h *held, n int, o balance.Outcome, report []float64) {
+	if h.hops[n] != nil {
+		h.hops[n].Abandon()
+		d.outcome(h, n, o, report)
+	}
+}
+
+func (d *Dispatcher) outcome(h *held, n int, o balance.Outcome, report []float64) {
+	h.hops[n] = nil
+	d.events = append(d.events, balance.AttemptDone{ID: h.req.ID, Attempt: n, Outcome: o, Closed: h.answered, Report: report})
+	d.release(h)
+}
+
+// answer gives a request its one final answer.
+func (d *Dispatcher) answer(h *held, a ingress.Answer) {
+	if !h.answered {
+		h.req.Answer(a)
+		d.close(h)
+	}
+}
+
+// close ends what is owed to a request.
+func (d *Dispatcher) close(h *held) {
+	h.answered = true
+	h.timer.Stop()
+	d.release(h)
+}
+
+// release forgets a request that is over on both sides.
+func (d *Dispatcher) release(h *held) {
+	if h.answered && !h.out() {
+		delete(d.held, h.req.ID)
+	}
+}
+
+// step lets the module decide on what has happened and carries its actions out.
+func (d *Dispatcher) step(now float64) {
+	events := d.events
+	d.events, d.last = nil, now
+	for _, a := range d.bal.Step(now, events) {
+		d.act(now, a)
+	}
+}
+
+func (d *Dispatcher) act(now float64, a balance.Action) {
+	switch a := a.(type) {
+	case balance.Send:
+		d.send(a)
+	case balance.Refuse:
+		if h := d.held[a.ID]; h != nil {
+			d.answer(h, ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: a.After})
+		}
+	case balance.Fail:
+		if h := d.held[a.ID]; h != nil {
+			status := http.StatusBadGateway
+			if now >= h.deadline {
+				status = http.StatusGatewayTimeout
+			}
+			d.answer(h, ingress.Answer{Status: status})
+		}
+	case balance.Cancel:
+		if h := d.held[a.ID]; h != nil && a.Attempt >= 0 && a.Attempt < len(h.hops) {
+			d.end(h, a.Attempt, balance.Cancelled, nil)
+		}
+	case balance.Probe:
+		host := a.Worker
+		addr, ok := d.table.Dial(host)
+		if !ok {
+			d.events = append(d.events, balance.ProbeDone{Worker: host, Outcome: balance.Unreachable})
+			return
+		}
+		d.Egress.Probe(addr, d.fields(), func(n egress.News) { d.post(probeNews{host, n}) })
+	case balance.SetTimer:
+		d.wheel.Set(now+a.After, wake{})
+	case balance.Subscribe:
+		d.subscribe()
+	case balance.Log:
+		d.Log("%s", a.Text)
+	}
+}
+
+func (d *Dispatcher) fields() []string {
+	if d.Settings.Reporting.How == "silent" {
+		return nil
+	}
+	return d.Settings.Reporting.Fields
+}
+
+// send starts an attempt.
+func (d *Dispatcher) send(a balance.Send) {
+	h := d.held[a.ID]
+	if h == nil || h.answered {
+		return
+	}
+	n := len(h.hops)
+	addr, ok := d.table.Dial(a.Worker)
+	if !ok {
+		h.hops = append(h.hops, nil)
+		d.outcome(h, n, balance.Unreachable, nil)
+		return
+	}
+	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
+		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields()}
+	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, news}) }))
+}
+
+// subscribe starts a watch, in place of one that may still be open.
+func (d *Dispatcher) subscribe() {
+	d.watch()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.watch = cancel
+	d.watchNo++
+	no, seq := d.watchNo, d.table.Seq
+	go func() {
+		err := d.Watch(ctx, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
+		d.post(routeNews{watch: no, err: err})
+	}()
+}
+
+// route takes in a change of the route table, or the end of the watch.
+func (d *Dispatcher) route(p routeNews) {
+	if p.watch != d.watchNo {
+		return // of a watch that was replaced
+	}
+	if p.up == nil {
+		if !errors.Is(p.err, context.Canceled) {
+			d.Log("discovery watch ended: %v", p.err)
+		}
+		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
+		return
+	}
+	for _, addr := range d.table.Apply(p.up, d.clock()) {
+		d.Egress.Forget(addr)
+	}
+	d.events = append(d.events, p.up.Roster())
+}
+
+// finished moves the phases on and says whether the loop is over.
+func (d *Dispatcher) finished(now float64) bool {
+	p := d.Phases
+	if p.Now() == Starting && d.table.Len() > 0 && p.Enter(Serving) {
+		d.Log("serving: %d egress targets known", d.table.Len())
+	}
+	if !p.Ending() {
+		return false
+	}
+	owed := 0
+	for _, h := range d.held {
+		if !h.answered {
+			owed++
+		}
+	}
+	if owed == 0 && d.ingress.Taken() == 0 && now-d.ended > drainIdle && d.ingress.Open() == 0 {
+		p.Enter(Stopped)
+		return true
+	}
+	if now-d.ended > d.most && p.Enter(Closing) {
+		d.Log("closing: %d requests get no answer from a target", owed)
+		d.giveUp()
+	}
+	if now-d.ended > d.most+flush {
+		p.Enter(Stopped)
+		return true
+	}
+	return false
+}
+
+// giveUp answers all that is held, as the program is about to be killed. What
+// may have run is failed; what certainly has not is refused.
+func (d *Dispatcher) giveUp() {
+	for _, h := range d.held {
+		if h.answered {
+			continue
+		}
+		a := ingress.Answer{Status: http.StatusBadGateway}
+		if len(h.hops) == 0 {
+			a = ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter}
+		}
+		d.answer(h, a)
+		for n := range h.hops {
+			d.end(h, n, balance.Cancelled, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/egress/hop.go
@@ -0,0 +1,237 @@
+package egress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"example.org/bellstream/balance"
+)
+
+const (
+	maxLine  = 512 << 10              // of a target's answer: a result of 64 KiB, escaped
+	tailTime = 250 * time.Millisecond // for what follows the last line, before the connection is closed
+	late     = time.Second            // past its deadline, after which a hop ends by itself
+)
+
+// Order is what a hop carries to its egress target.
+type Order struct {
+	ID, Method, URI string
+	IdempotencyKey  string
+	Body            []byte
+	Deadline        time.Time // when the client gives up
+	Fields          []string  // names of the figures in a load report, in order
+}
+
+// News is what a hop tells: that the job has started (Outcome is empty), or
+// how the hop ended, once.
+type News struct {
+	Outcome balance.Outcome
+	Result  []byte
+	Report  []float64
+	Why     string // for the log
+}
+
+// Hop is one attempt. Its goroutine alone reads and writes its connection.
+type Hop struct {
+	mu     sync.Mutex
+	conn   *conn
+	over   bool
+	cancel context.CancelFunc
+}
+
+// Abandon ends a hop from outside. When it returns the connection is closed
+// or will never be opened, so no byte of the hop leaves any more and another
+// attempt may go out.
+func (h *Hop) Abandon() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.over {
+		return
+	}
+	h.over = true
+	h.cancel()
+	if h.conn != nil {
+		h.conn.Close()
+	}
+}
+
+// hold ties a connection to the hop, unless the hop was abandoned meanwhile.
+func (h *Hop) hold(c *conn) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conn = c
+	return !h.over
+}
+
+// free unties the connection; false if the hop was abandoned.
+func (h *Hop) free() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conn = nil
+	ok := !h.over
+	h.over = true
+	h.cancel()
+	return ok
+}
+
+// Start sends an order to the address. All news comes by tell, from the hop's
+// goroutine; after Abandon it may still be called.
+func (p *Pool) Start(o *Order, addr string, tell func(News)) *Hop {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Hop{cancel: cancel}
+	by := time.Now().Add(p.Dial)
+	go func() {
+		defer cancel()
+		c, err := p.get(ctx, addr, by)
+		if err != nil {
+			tell(unsent(err))
+			return
+		}
+		if !h.hold(c) {
+			p.close(c)
+			tell(News{Outcome: balance.Cancelled})
+			return
+		}
+		end, clean := o.play(c, by, tell)
+		// A result does not wait for the end of the chunked body. Any other
+		// outcome may let another attempt out, so it is told when this one's
+		// connection has come to its end or is closed.
+		served := end.Outcome == balance.Served
+		if served {
+			tell(end)
+		}
+		clean = clean && c.finish()
+		if h.free() && clean {
+			p.put(c)
+		} else {
+			p.close(c)
+		}
+		if !served {
+			tell(end)
+		}
+	}()
+	return h
+}
+
+// unsent words the end of what never got a connection. Where this side had no
+// descriptor the target is not to blame, and counts as full, not as lost.
+func unsent(err error) News {
+	if errors.Is(err, errCrowded) {
+		return News{Outcome: balance.Full, Why: err.Error()}
+	}
+	return News{Outcome: balance.Unreachable, Why: err.Error()}
+}
+
+func (o *Order) head(addr string) []byte {
+	var b bytes.Buffer
+	left := max(0, time.Until(o.Deadline)).Seconds()
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Timeout: %s\r\n",
+		o.Method, o.URI, addr, o.ID, strconv.FormatFloat(left, 'f', 3, 64))
+	if o.IdempotencyKey != "" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", o.IdempotencyKey)
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(o.Body))
+	b.Write(o.Body)
+	return b.Bytes()
+}
+
+// play sends the request and reads up to the outcome. Clean says that the
+// connection stands right behind the last line.
+func (o *Order) play(c *conn, by time.Time, tell func(News)) (end News, clean bool) {
+	c.SetWriteDeadline(by.Add(late))
+	msg := o.head(c.addr)
+	// Until the last byte is written the job cannot have run; from then on it may have.
+	if n, err := c.Write(msg); err != nil || n < len(msg) {
+		return News{Outcome: balance.Unreachable, Why: fmt.Sprintf("wrote %d of %d bytes: %v", n, len(msg), err)}, false
+	}
+	c.SetReadDeadline(o.Deadline.Add(late))
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: o.Method})
+	if err != nil {
+		return broken(err), false
+	}
+	c.body(resp)
+	if resp.StatusCode != http.StatusOK {
+		end := News{Outcome: balance.Errored, Report: report([]byte(resp.Header.Get("Server-Load")), o.Fields), Why: resp.Status}
+		turned := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
+		if turned && resp.Header.Get("Not-Started") == "1" {
+			end.Outcome = balance.Full
+		}
+		return end, !resp.Close
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 1024), maxLine)
+	for lines.Scan() {
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		if !gjson.ValidBytes(line) {
+			return News{Outcome: balance.Broken, Why: "malformed line"}, false
+		}
+		v := gjson.ParseBytes(line)
+		if id := v.Get("id"); id.Exists() && id.String() != o.ID {
+			return News{Outcome: balance.Broken, Why: "a line for another request"}, false
+		}
+		end := News{Report: report([]byte(v.Get("load").Raw), o.Fields)}
+		switch v.Get("state").String() {
+		case "started":
+			tell(News{})
+			continue
+		case "done":
+			result := v.Get("result")
+			if !result.Exists() {
+				return News{Outcome: balance.Broken, Why: "done without a result"}, false
+			}
+			end.Outcome, end.Result = balance.Served, []byte(result.String())
+		case "failed":
+			end.Outcome = balance.Errored
+		case "returned":
+			end.Outcome = balance.Full
+		case "lost":
+			end.Outcome = balance.Broken
+		default:
+			continue // progress, and what later targets may add
+		}
+		end.Why = v.Get("state").String()
+		return end, !resp.Close
+	}
+	return broken(lines.Err()), false
+}
+
+func broken(err error) News {
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return News{Outcome: balance.Broken, Why: err.Error()}
+}
+
+// report puts the figures of a load report in the order of the settings; nil
+// where one is missing.
+func report(raw []byte, fields []string) []float64 {
+	if len(raw) == 0 || len(fields) == 0 || !gjson.ValidBytes(raw) {
+		return nil
+	}
+	v := gjson.ParseBytes(raw)
+	if !v.IsObject() {
+		return nil
+	}
+	all := make([]float64, len(fields))
+	for i, f := range fields {
+		x := v.Get(f)
+		if x.Type != gjson.Number {
+			return nil
+		}
+		all[i] = x.Float()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/egress/pool.go
@@ -0,0 +1,169 @@
+// Package egress is the zone workers' side: hops (one attempt each), probes,
+// and the connections that both use again.
+package egress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// errCrowded says that no connection was to be had: all places are taken.
+var errCrowded = errors.New("no descriptor left for an egress connection")
+
+// Pool holds the connections to all egress targets. Set the exported fields
+// before use.
+type Pool struct {
+	Max  int           // connections at one time, busy ones included
+	Dial time.Duration // until a connection counts as failed
+	Keep time.Duration // an idle connection is not used after this
+
+	mu   sync.Mutex
+	open int
+	idle []*conn // all targets', oldest first
+}
+
+// conn is one connection to an egress target. It is in use by one hop or
+// probe, or idle in the pool.
+type conn struct {
+	net.Conn
+	addr  string
+	r     *bufio.Reader
+	since time.Time // when it became idle
+	rest  io.Reader // of the answer being read
+}
+
+// get returns an idle connection to the address, or a new one by the given time.
+func (p *Pool) get(ctx context.Context, addr string, by time.Time) (*conn, error) {
+	for {
+		c, err := p.reserve(addr)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			break
+		}
+		if c.alive() {
+			return c, nil
+		}
+		p.close(c)
+	}
+	d := net.Dialer{Deadline: by, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, 2048)}, nil
+}
+
+// reserve takes the youngest usable idle connection to the address. Where
+// there is none it takes a place for a new one, and returns nil.
+func (p *Pool) reserve(addr string) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; c.addr == addr {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return c, nil
+		}
+	}
+	if p.open >= p.Max && len(p.idle) > 0 {
+		p.drop(0)
+	}
+	if p.open >= p.Max {
+		return nil, errCrowded
+	}
+	p.open++
+	return nil, nil
+}
+
+// put gives back a connection on which nothing is out.
+func (p *Pool) put(c *conn) {
+	c.SetDeadline(time.Time{})
+	c.since = time.Now()
+	p.mu.Lock()
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+func (p *Pool) close(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+func (p *Pool) drop(i int) {
+	p.idle[i].Close()
+	p.idle = append(p.idle[:i], p.idle[i+1:]...)
+	p.open--
+}
+
+// sweep closes connections that stood idle for too long. The target closes
+// them at caps.keepalive, and a request that crosses that close is a reset,
+// which an unsafe job does not survive.
+func (p *Pool) sweep() {
+	for len(p.idle) > 0 && time.Since(p.idle[0].since) > p.Keep {
+		p.drop(0)
+	}
+}
+
+// Sweep closes what stood idle for too long.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep()
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].addr == addr {
+			p.drop(i)
+		}
+	}
+}
+
+// alive looks, without waiting, whether an idle connection was closed or
+// reset by the other side, or holds bytes that nobody asked for.
+func (c *conn) alive() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet && c.r.Buffered() == 0
+}
+
+// body notes the answer that is being read, so that finish can read its rest.
+func (c *conn) body(resp *http.Response) { c.rest = resp.Body }
+
+// finish reads what is left of the answer. Only then may the connection
+// carry another request.
+func (c *conn) finish() bool {
+	c.SetReadDeadline(time.Now().Add(tailTime))
+	n, err := io.CopyN(io.Discard, c.rest, maxLine)
+	return errors.Is(err, io.EOF) && n < maxLine && c.r.Buffered() == 0
+}
--- /dev/null
+++ b/internal/ingress/request.go
@@ -0,0 +1,153 @@
+// Package ingress is the clients' side: it accepts connections, reads
+// requests, hands each to the desk, writes the one answer that comes back and
+// notices a client that leaves.
+package ingress
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxBody is the largest body that the protocol allows.
+const maxBody = 64 << 10
+
+// Request is one job as its client submitted it.
+type Request struct {
+	ID, Class, Tenant string
+	Method, URI       string
+	IdempotencyKey    string
+	Body              []byte
+	Retry             bool
+	Slots, Memory     float64
+	Arrived           time.Time     // when its last byte was read
+	Timeout           time.Duration // how long the client waits
+	answer            chan Answer
+}
+
+// Answer is what a client is told in the end.
+type Answer struct {
+	Status     int
+	Body       []byte
+	RetryAfter float64 // seconds; 0 means no advice
+}
+
+// Answer hands over the request's one final answer. It must be called once for
+// every request taken whose client has not left.
+func (r *Request) Answer(a Answer) { r.answer <- a }
+
+// Class is what ingress must know of a class of requests.
+type Class struct {
+	Keyed    bool
+	Deadline time.Duration // for requests that state no time-out
+}
+
+// reject is a request that is answered at the door.
+type reject struct {
+	status int
+	why    string
+}
+
+func (r *reject) Error() string { return r.why }
+
+func bad(format string, args ...any) *reject {
+	return &reject{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// check tells whether the request line is one for a job. A nil error and no
+// class means a health check.
+func (s *Server) check(r *http.Request) (class string, err error) {
+	if r.URL.Path == "/healthz" {
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			return "", &reject{http.StatusMethodNotAllowed, "only GET and HEAD here"}
+		}
+		return "", nil
+	}
+	class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if _, ok := s.classes[class]; !ok {
+		return "", &reject{http.StatusNotFound, "no such path"}
+	}
+	if r.Method != http.MethodPost {
+		return "", &reject{http.StatusMethodNotAllowed, "only POST here"}
+	}
+	return class, nil
+}
+
+// parse makes a job of a request whose path names the class.
+func (s *Server) parse(r *http.Request, class string) (*Request, error) {
+	h := r.Header
+	q := &Request{ID: h.Get("Request-Id"), Class: class, Tenant: h.Get("Tenant"), Method: r.Method,
+		URI: r.RequestURI, IdempotencyKey: h.Get("Idempotency-Key"), Retry: h.Get("Client-Retry") == "1",
+		Slots: 1, Timeout: s.classes[class].Deadline, answer: make(chan Answer, 1)}
+	switch {
+	case q.ID == "" || len(q.ID) > 128:
+		return nil, bad("Request-Id is missing or too long")
+	case h.Get("Request-Class") != "" && h.Get("Request-Class") != class:
+		return nil, bad("Request-Class and path differ")
+	case s.classes[class].Keyed && q.IdempotencyKey == "":
+		return nil, bad("this class wants an Idempotency-Key")
+	}
+	if t := h.Get("Request-Timeout"); t != "" {
+		v, err := strconv.ParseFloat(t, 64)
+		if err != nil || !(v >= 0 && v <= 86400) {
+			return nil, bad("Request-Timeout is not a time in seconds")
+		}
+		q.Timeout = time.Duration(v * float64(time.Second))
+	}
+	// Figures that are not known here are skipped.
+	for _, part := range strings.Split(h.Get("Request-Info"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		var to *float64
+		switch name {
+		case "slots", "cores_needed":
+			to = &q.Slots
+		case "memory":
+			to = &q.Memory
+		default:
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || v < 0 || math.IsInf(v, 0) || math.IsNaN(v) {
+			return nil, bad("Request-Info: %s is not a figure", name)
+		}
+		*to = v
+	}
+	if r.ContentLength > maxBody {
+		return nil, &reject{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
+	}
+	var err error
+	if q.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBody+1)); err != nil {
+		return nil, err
+	}
+	if len(q.Body) > maxBody {
+		return nil, &reject{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
+	}
+	q.Arrived = time.Now()
+	return q, nil
+}
+
+// write puts an answer on the wire in one piece.
+func write(w io.Writer, a Answer, last, head bool) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
+	if a.RetryAfter > 0 {
+		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(a.RetryAfter, 'f', 3, 64))
+	}
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(a.Body))
+	if !head {
+		b.Write(a.Body)
+	}
+	_, err := w.Write(b.Bytes())
+	return err
+}
+
+var errLeft = errors.New("client left")
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,286 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Limits of one connection.
+const (
+	maxHead  = 32 << 10
+	readTime = 10 * time.Second // from a request's first byte to its last
+	idleTime = 2 * time.Minute  // between requests
+	sendTime = 5 * time.Second  // to write an answer
+	spare    = 32               // connections beyond the most that are turned away in good form
+)
+
+// Desk takes what the clients' side has to tell. Its calls return soon.
+type Desk interface {
+	Arrive(*Request) // the request is owed one Answer
+	Leave(*Request)  // its client left: nothing is owed any more
+}
+
+// Phase is what a connection must know of the program's phase.
+type Phase interface {
+	Ready() bool  // the program serves
+	Ending() bool // clients are to go elsewhere after their answer
+}
+
+// Server is the clients' side.
+type Server struct {
+	classes map[string]Class
+	desk    Desk
+	phase   Phase
+	most    int // connections at one time
+	log     func(format string, args ...any)
+
+	mu    sync.Mutex
+	conns map[*conn]bool
+	seats chan struct{}
+	taken atomic.Int64 // requests read and not yet answered on the wire
+}
+
+// NewServer makes a server for the given classes, by name, that holds most
+// connections at one time.
+func NewServer(classes map[string]Class, desk Desk, phase Phase, most int, log func(string, ...any)) *Server {
+	return &Server{classes: classes, desk: desk, phase: phase, most: most, log: log,
+		conns: map[*conn]bool{}, seats: make(chan struct{}, most+spare)}
+}
+
+// conn is one client connection. Its goroutine reads and writes; while a
+// request is held a second one waits for the next byte or the client's end.
+type conn struct {
+	net.Conn
+	limit io.LimitedReader
+	r     *bufio.Reader
+	idle  bool // between requests; guarded by Server.mu
+	since time.Time
+	shed  bool // came when all places were taken: its request is refused
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		s.seats <- struct{}{} // when even the spare ones are taken, clients wait in the backlog
+		nc, err := l.Accept()
+		if err != nil {
+			<-s.seats
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			// Running out of descriptors is no crash: what is open goes on, and
+			// the oldest idle connection makes room.
+			s.log("accept: %v", err)
+			s.evict()
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := &conn{Conn: nc, idle: true, since: time.Now()}
+		c.limit.R = nc
+		c.r = bufio.NewReaderSize(&c.limit, 4096)
+		s.mu.Lock()
+		s.conns[c] = true
+		full := len(s.conns) > s.most
+		s.mu.Unlock()
+		c.shed = full && !s.evict()
+		go func() {
+			s.serve(c)
+			nc.Close()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+			<-s.seats
+		}()
+	}
+}
+
+// Open is how many connections there are.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Taken is how many requests were read and have no answer on the wire yet.
+func (s *Server) Taken() int { return int(s.taken.Load()) }
+
+// evict closes the connection that has been idle for longest.
+func (s *Server) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *conn
+	for c := range s.conns {
+		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	if oldest == nil || time.Since(oldest.since) < time.Second {
+		return false // a fresh connection is about to bring a request
+	}
+	oldest.idle = false
+	oldest.SetReadDeadline(time.Now())
+	return true
+}
+
+// CloseIdle ends the connections that stand between two requests. One that
+// has not brought its first request yet is left alone for the given time.
+func (s *Server) CloseIdle(fresh time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.idle && time.Since(c.since) >= fresh {
+			c.SetReadDeadline(time.Now())
+		}
+	}
+}
+
+func (s *Server) setIdle(c *conn, idle bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.idle = idle; idle {
+		c.since = time.Now()
+		c.SetReadDeadline(c.since.Add(idleTime))
+	} else {
+		c.SetReadDeadline(time.Now().Add(readTime))
+	}
+}
+
+// serve plays one connection: idle, reading, held, answering, and again.
+func (s *Server) serve(c *conn) {
+	next := make(chan error, 1)
+	for {
+		c.limit.N = maxHead
+		s.setIdle(c, true)
+		if _, err := c.r.Peek(1); err != nil {
+			return
+		}
+		for {
+			s.setIdle(c, false)
+			again, err := s.one(c, next)
+			if err != nil || !again {
+				s.linger(c, err)
+				return
+			}
+			// The watcher of this request is still out. It returns with the
+			// next request's first byte, or with the connection's end.
+			s.setIdle(c, true)
+			if err := <-next; err != nil {
+				return
+			}
+		}
+	}
+}
+
+// one reads a request and sees it answered.
+func (s *Server) one(c *conn, next chan error) (again bool, err error) {
+	r, err := http.ReadRequest(c.r)
+	if err != nil {
+		return false, s.complain(c, err)
+	}
+	class, err := s.check(r)
+	if err != nil {
+		return false, s.complain(c, err)
+	}
+	if class == "" {
+		a := Answer{Status: http.StatusServiceUnavailable, Body: []byte("not ready\n")}
+		if s.phase.Ready() {
+			a = Answer{Status: http.StatusOK, Body: []byte("ok\n")}
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBody)); err != nil {
+			return false, err
+		}
+		c.limit.N = maxHead
+		go c.watch(next)
+		last := s.phase.Ending() || r.Close
+		return !last, s.send(c, a, last, r.Method == http.MethodHead)
+	}
+	c.limit.N += 2 * maxBody // the body, with what chunks may add
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return false, err
+		}
+	}
+	q, err := s.parse(r, class)
+	if err != nil {
+		return false, s.complain(c, err)
+	}
+	if c.shed {
+		return false, s.send(c, Answer{Status: http.StatusServiceUnavailable, RetryAfter: 1}, true, false)
+	}
+	s.taken.Add(1)
+	defer s.taken.Add(-1)
+	c.limit.N = maxHead
+	c.SetReadDeadline(time.Time{})
+	go c.watch(next)
+	s.desk.Arrive(q)
+	var a Answer
+	early := false
+	select {
+	case a = <-q.answer:
+	case err := <-next:
+		if err != nil {
+			s.desk.Leave(q)
+			return false, errLeft
+		}
+		early = true // it has sent on: its next request waits its turn
+		a = <-q.answer
+	}
+	last := s.phase.Ending() || r.Close
+	if early {
+		next <- nil
+	}
+	return !last, s.send(c, a, last, false)
+}
+
+// watch waits for the next byte, which it leaves in place, or the end.
+func (c *conn) watch(next chan<- error) {
+	_, err := c.r.Peek(1)
+	next <- err
+}
+
+func (s *Server) send(c *conn, a Answer, last, head bool) error {
+	c.SetWriteDeadline(time.Now().Add(sendTime))
+	return write(c, a, last, head)
+}
+
+// complain answers what is no proper request; the connection ends with it.
+func (s *Server) complain(c *conn, err error) error {
+	var r *reject
+	var ne net.Error
+	switch {
+	case errors.As(err, &r):
+	case errors.As(err, &ne) && ne.Timeout():
+		r = &reject{http.StatusRequestTimeout, "the request took too long to arrive"}
+	case c.limit.N <= 0:
+		r = &reject{http.StatusRequestHeaderFieldsTooLarge, "the request's head is too long"}
+	case errors.Is(err, io.EOF), errors.As(err, &ne):
+		return err // nobody is there to be told
+	default:
+		r = bad("malformed request")
+	}
+	if err := s.send(c, Answer{Status: r.status, Body: []byte(r.why + "\n")}, true, false); err != nil {
+		return err
+	}
+	return nil
+}
+
+// linger ends a connection so that an answer just written is not lost: what
+// the client still sends is read for a moment, as closing at once would reset
+// the connection under the answer.
+func (s *Server) linger(c *conn, err error) {
+	if err != nil {
+		return
+	}
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	io.CopyN(io.Discard, c.Conn, 2*maxBody)
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,143 @@
+// Package route keeps the route table: discovery's list of egress targets
+// (zone workers), where each is dialled, and the watch that brings changes.
+package route
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/tidwall/gjson"
+
+	"example.org/bellstream/balance"
+)
+
+// Entry is one line of discovery's list.
+type Entry struct {
+	balance.WorkerInfo
+	Dial string
+}
+
+// Update is one list, or the changes to it.
+type Update struct {
+	Seq     int64
+	Whole   bool
+	Entries []Entry
+}
+
+var states = map[string]balance.WorkerState{
+	"active": balance.Running, "leaving": balance.Draining, "left": balance.Gone,
+}
+
+// Parse decodes a list in discovery's form. Unknown fields are skipped, and a
+// state that is not known counts as draining.
+func Parse(raw []byte) (*Update, error) {
+	if !gjson.ValidBytes(raw) {
+		return nil, errors.New("list: not valid JSON")
+	}
+	root := gjson.ParseBytes(raw)
+	hosts := root.Get("hosts")
+	if !root.IsObject() || !root.Get("seq").Exists() || hosts.Exists() && !hosts.IsArray() {
+		return nil, errors.New("list: seq or hosts is missing or of a wrong type")
+	}
+	u := &Update{Seq: root.Get("seq").Int(), Whole: root.Get("whole").Bool()}
+	for n, h := range hosts.Array() {
+		e := Entry{Dial: h.Get("dial").String(), WorkerInfo: balance.WorkerInfo{
+			ID: h.Get("host").String(), Zone: h.Get("site").String(), Kind: h.Get("class").String(),
+			Cell: int(h.Get("block").Int()), State: states[h.Get("health").String()],
+			Started: h.Get("born_ms").Float() / 1000}}
+		if e.ID == "" || e.Dial == "" && e.State != balance.Gone {
+			return nil, fmt.Errorf("list: hosts[%d] has no host or dial", n)
+		}
+		if e.State == "" {
+			e.State = balance.Draining
+		}
+		u.Entries = append(u.Entries, e)
+	}
+	return u, nil
+}
+
+// forget is how long a target that the list no longer names can still be
+// dialled: the decisions may hold on to one that was left out by mistake.
+const forget = 900.0
+
+type target struct {
+	dial   string
+	gone   bool
+	goneAt float64
+}
+
+// Table says where each egress target is dialled. It has one owner.
+type Table struct {
+	Seq     int64
+	targets map[string]*target
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{targets: map[string]*target{}} }
+
+// Len is how many targets are listed.
+func (t *Table) Len() (n int) {
+	for _, x := range t.targets {
+		if !x.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// Dial returns the address of a target, or false for one never listed.
+func (t *Table) Dial(host string) (string, bool) {
+	if x := t.targets[host]; x != nil {
+		return x.dial, true
+	}
+	return "", false
+}
+
+// Apply takes in an update and returns the addresses to which idle
+// connections are of no more use.
+func (t *Table) Apply(u *Update, now float64) (closed []string) {
+	t.Seq = u.Seq
+	named := map[string]bool{}
+	for _, e := range u.Entries {
+		named[e.ID] = true
+		x := t.targets[e.ID]
+		if x == nil {
+			if e.State == balance.Gone {
+				continue
+			}
+			x = &target{}
+			t.targets[e.ID] = x
+		}
+		if x.dial != "" && (e.State != balance.Running || e.Dial != x.dial) {
+			closed = append(closed, x.dial)
+		}
+		if e.Dial != "" {
+			x.dial = e.Dial
+		}
+		if gone := e.State == balance.Gone; gone != x.gone {
+			x.gone, x.goneAt = gone, now
+		}
+	}
+	for host, x := range t.targets {
+		if u.Whole && !named[host] && !x.gone {
+			x.gone, x.goneAt = true, now
+			closed = append(closed, x.dial)
+		}
+		if x.gone && now > x.goneAt+forget {
+			delete(t.targets, host)
+		}
+	}
+	return closed
+}
+
+// Roster puts an update in the decision module's words.
+func (u *Update) Roster() balance.RosterUpdate {
+	r := balance.RosterUpdate{Kind: balance.RosterDelta}
+	if u.Whole {
+		r.Kind = balance.RosterFull
+	}
+	for _, e := range u.Entries {
+		r.Workers = append(r.Workers, e.WorkerInfo)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/route/watch.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Times of a watch. Discovery writes an empty line every 2 s while nothing
+// changes, so two missed ones mean that it is gone. The first answer has to
+// come before the decisions would ask once more.
+const (
+	firstAnswer = 4500 * time.Millisecond
+	silence     = 5 * time.Second
+	maxLine     = 4 << 20
+)
+
+// Watch asks discovery for all changes after seq and calls each with every
+// update, in order, until the watch ends or ctx does. It always returns the
+// reason. Silence counts as an end: a cut link says nothing.
+func Watch(ctx context.Context, discovery string, seq int64, each func(*Update)) error {
+	d := net.Dialer{Timeout: firstAnswer, KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", discovery)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(firstAnswer))
+	if _, err := fmt.Fprintf(conn, "GET /v1/servers?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", seq, discovery); err != nil {
+		return err
+	}
+	req, _ := http.NewRequest(http.MethodGet, "http://discovery/", nil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		conn.SetReadDeadline(time.Now().Add(silence))
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		u, err := Parse(line)
+		if err != nil {
+			return err
+		}
+		each(u)
+	}
+	if err := lines.Err(); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return errors.New("discovery ended the watch")
+}
--- /dev/null
+++ b/internal/settings/instance.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+)
+
+// Instance is the configuration file of one real dispatcher.
+type Instance struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   []byte // the route table as last held, in discovery's form
+	Settings                *Settings
+}
+
+// Load reads an instance's configuration file.
+func Load(path string) (*Instance, error) {
+	if path == "" {
+		return nil, errors.New("RELAY_CONFIG names no configuration file")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	i, err := ParseInstance(raw)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return i, nil
+}
+
+// ParseInstance decodes a configuration file. Unknown fields are skipped.
+func ParseInstance(raw []byte) (*Instance, error) {
+	if !gjson.ValidBytes(raw) {
+		return nil, errors.New("not valid JSON")
+	}
+	r := &reader{root: gjson.ParseBytes(raw)}
+	i := &Instance{Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"),
+		Cores: r.num("limits.cores"), MemoryMB: r.int("limits.memory_mb"), Sockets: r.int("limits.sockets"),
+		Known: []byte(r.get("known", gjson.JSON).Raw)}
+	if seed := r.text("seed"); seed != "" {
+		n, err := strconv.ParseUint(seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed: %q is not up to 16 hex digits", seed)
+		}
+		i.Seed = n
+	}
+	switch {
+	case r.err != nil:
+		return nil, r.err
+	case i.Listen == "":
+		return nil, errors.New("listen: missing")
+	case i.Discovery == "":
+		return nil, errors.New("discovery: missing")
+	case i.MemoryMB < 0 || i.Sockets < 0 || i.Cores < 0:
+		return nil, errors.New("limits: a figure is below 0")
+	}
+	var err error
+	i.Settings, err = Parse([]byte(r.get("settings", gjson.JSON).Raw))
+	return i, err
+}
--- /dev/null
+++ b/internal/wheel/wheel.go
@@ -0,0 +1,85 @@
+// Package wheel keeps timers on a hashed timing wheel of coarse ticks. It
+// reads no clock: the owner passes the time in. A Wheel is used by one
+// goroutine.
+package wheel
+
+import "math"
+
+const spokes = 512
+
+// Timer is one entry of a wheel.
+type Timer[T any] struct {
+	value   T
+	due     int64 // tick number
+	stopped bool
+}
+
+// Stop keeps a timer from firing. A nil or fired timer may be stopped too.
+func (t *Timer[T]) Stop() {
+	if t != nil {
+		t.stopped = true
+	}
+}
+
+// Wheel holds timers with values of one type.
+type Wheel[T any] struct {
+	tick  float64 // seconds
+	done  int64   // the last tick that has fired
+	slots [spokes][]*Timer[T]
+	count int
+}
+
+// New returns a wheel that turns by the given tick, in seconds.
+func New[T any](tick, now float64) *Wheel[T] {
+	return &Wheel[T]{tick: tick, done: int64(math.Floor(now / tick))}
+}
+
+// Set adds a timer. It fires with the first tick at or after the given time,
+// at the earliest with the next one.
+func (w *Wheel[T]) Set(at float64, value T) *Timer[T] {
+	t := &Timer[T]{value: value, due: max(int64(math.Ceil(at/w.tick)), w.done+1)}
+	s := &w.slots[t.due%spokes]
+	*s = append(*s, t)
+	w.count++
+	return t
+}
+
+// Next returns when the wheel is to be advanced again, and false where it is
+// empty. It may name a time too early by whole turns, never one too late.
+func (w *Wheel[T]) Next() (float64, bool) {
+	if w.count == 0 {
+		return 0, false
+	}
+	for n := w.done + 1; ; n++ {
+		if len(w.slots[n%spokes]) > 0 {
+			return float64(n) * w.tick, true
+		}
+	}
+}
+
+// Advance turns the wheel up to now and returns the values that came due, in
+// the order of their ticks.
+func (w *Wheel[T]) Advance(now float64) (due []T) {
+	to := int64(math.Floor(now/w.tick + 1e-3))
+	// After a standstill of more than a turn each slot is looked at once, and
+	// order across the turns is given up.
+	for n := max(w.done+1, to-spokes+1); n <= to; n++ {
+		s := &w.slots[n%spokes]
+		keep := (*s)[:0]
+		for _, t := range *s {
+			switch {
+			case t.stopped:
+				w.count--
+			case t.due <= to:
+				w.count--
+				due = append(due, t.value)
+			default:
+				keep = append(keep, t)
+			}
+		}
+		clear((*s)[len(keep):])
+		*s = keep
+	}
+	w.done = max(w.done, to)
+	return due
+}
