--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Targets: build, test, race, fuzz, lint, run, check.
+CONFIG ?= config.json
+FUZZTIME ?= 30s
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+race:
+	go test -count=1 -race ./...
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzConnection -fuzztime $(FUZZTIME) ./internal/ingress
+	go test -run '^$$' -fuzz FuzzHops -fuzztime $(FUZZTIME) ./internal/egress
+	go test -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZTIME) ./internal/dispatcher
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/route
+
+lint:
+	test -z "$$(gofmt -l balance cmd internal)"
+	go vet ./...
+
+run: build
+	RELAY_CONFIG=$(CONFIG) bin/bellstream
+
+check:
+	.ci/run
+
+.PHONY: build test race fuzz lint run check
--- a/cmd/bellstream/main.go
+++ b/cmd/bellstream/main.go
@@ -41,7 +41,7 @@
 	logs := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
 	in, out := places(conf.Sockets)
 	s := conf.Settings
-	pool := &egress.Pool{Max: out, Dial: seconds(s.Caps.DialTimeout, 0.25), Keep: seconds(s.Caps.Keepalive, 15) * 2 / 3}
+	pool := &egress.Pool{Max: out, Dial: seconds(s.Caps.DialTimeout, 0.25), Keep: seconds(s.Caps.Keepalive, 15) * 2 / 3, Now: time.Now}
 	phases := &dispatcher.Phases{}
 	d, err := dispatcher.New(dispatcher.Options{Settings: s, Seed: conf.Seed, Known: conf.Known, Egress: pool,
 		Phases: phases, Log: logs.Printf, Now: time.Now,
@@ -66,7 +66,7 @@
 		logs.Printf("%s: stopping", <-signals)
 		d.Stop()
 	}()
-	logs.Printf("dispatcher %s listens on %s", conf.Name, conf.Listen)
+	logs.Printf("dispatcher %s listens on %s", conf.Name, l.Addr())
 	d.Run(server)
 	logs.Printf("stopped")
 	return nil
--- /dev/null
+++ b/cmd/bellstream/main_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/bellstream/internal/wiretest"
+)
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("BELLSTREAM_MAIN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(t *testing.T, config string) (*exec.Cmd, *bufio.Reader) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BELLSTREAM_MAIN=1", "RELAY_CONFIG="+path)
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	return cmd, bufio.NewReader(log)
+}
+
+func TestBadStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for _, config := range []string{"{", `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{}}`,
+		fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","settings":{"lanes":[{"name":"c","semantics":"safe"}]}}`, taken.Addr())} {
+		cmd, log := program(t, config)
+		out, _ := io.ReadAll(log)
+		if err := cmd.Wait(); err == nil || !strings.HasPrefix(string(out), "bellstream: ") || strings.Count(string(out), "\n") != 1 {
+			t.Errorf("%s: exit %v, log %q, want one plain line", config, err, out)
+		}
+	}
+}
+
+// One job from its client to a target and back, with a stop while it runs.
+func TestServesAndDrains(t *testing.T) {
+	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
+	cmd, log := program(t, fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%[1]q,"seed":"1f",
+	 "limits":{"cores":1,"memory_mb":64,"sockets":128},
+	 "known":{"seq":7,"whole":true,"hosts":[{"host":"s","dial":%[2]q,"site":"z","health":"active"},
+	  {"host":"u","dial":%[2]q,"site":"z","health":"active"}]},
+	 "settings":{"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
+	  "lanes":[{"name":"c","aim":1,"hard_limit":60,"semantics":"unsafe"}],"caps":{"max_attempts":1}}}`, discovery.Addr, target.Addr))
+	wiretest.Get(t, discovery.Calls, "the watch")
+	line, _ := log.ReadString('\n')
+	_, addr, ok := strings.Cut(strings.TrimSpace(line), "listens on ")
+	if !ok {
+		t.Fatalf("log begins with %q", line)
+	}
+	client := dial(t, addr)
+	io.WriteString(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	if got, _ := client.Status(t); got != 200 {
+		t.Fatalf("health check got %d", got)
+	}
+	const job = "POST /c HTTP/1.1\r\nHost: x\r\nRequest-Id: r\r\nRequest-Timeout: 30\r\nContent-Length: 2\r\n\r\nhi"
+	io.WriteString(client, job)
+	call := wiretest.Get(t, target.Calls, "the job")
+	cmd.Process.Signal(syscall.SIGTERM)
+	for !strings.Contains(line, "draining") {
+		var err error
+		if line, err = log.ReadString('\n'); err != nil {
+			t.Fatalf("the log ended: %v", err)
+		}
+	}
+	// What connects after the signal is answered too.
+	second := dial(t, addr)
+	io.WriteString(second, strings.Replace(job, "Request-Id: r", "Request-Id: q", 1))
+	other := wiretest.Get(t, target.Calls, "the second job")
+	other.Reply(wiretest.Lines(true, `{"id":"q","state":"done","result":"two"}`))
+	call.Reply(wiretest.Lines(true, `{"id":"r","state":"done","result":"one"}`))
+	for c, want := range map[*wiretest.Client]string{client: "one", second: "two"} {
+		resp, err := http.ReadResponse(c.R, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != 200 || string(body) != want || !resp.Close {
+			t.Errorf("got %d %q, close %v, want %q and a close", resp.StatusCode, body, resp.Close, want)
+		}
+		c.Ended(t)
+		c.Close()
+	}
+	io.Copy(io.Discard, log)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+func dial(t *testing.T, addr string) *wiretest.Client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return &wiretest.Client{Conn: c, R: bufio.NewReader(c)}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	tick      = 0.004 // of the wheel; an answer's grace is 16 ms and more
 	queue     = 1024  // posts waiting for the loop
 	sweep     = 0.5   // between looks at idle connections
+	askAgain  = 1.0   // after a watch ended that the module did not ask for
 	drainLook = 0.05  // between looks at what is left while draining
 	drainMost = 3.0   // of draining at most: SIGKILL comes 0.7 s after that or later
 	drainIdle = 1.0   // of draining at least: connections keep coming for 0.4 s
@@ -33,7 +34,7 @@
 
 // Egress is what the loop needs of the zone workers' side.
 type Egress interface {
-	Start(o *egress.Order, addr string, tell func(egress.News)) *egress.Hop
+	Start(o *egress.Order, addr string, tell func(egress.News)) egress.Hop
 	Probe(addr string, fields []string, tell func(egress.News))
 	Forget(addr string)
 	Sweep()
@@ -85,7 +86,7 @@
 type held struct {
 	req      *ingress.Request
 	deadline float64
-	hops     []*egress.Hop // by attempt; nil once its outcome was told
+	hops     []egress.Hop // by attempt; nil once its outcome was told
 	answered bool
 	timer    *wheel.Timer[any]
 }
@@ -121,6 +122,7 @@
 	wake     struct{} // a timer of the module
 	deadline struct{ h *held }
 	sweeping struct{}
+	again    struct{} // ask discovery once more
 	looking  struct{} // at what is left while draining
 )
 
@@ -189,6 +191,9 @@
 	defer close(d.done)
 	defer func() { d.watch() }()
 	d.wheel.Set(d.clock()+sweep, sweeping{})
+	if !d.asked() {
+		d.subscribe()
+	}
 	timer := time.NewTimer(0)
 	for {
 		now := d.clock()
@@ -206,6 +211,10 @@
 	}
 }
 
+// asked says that the module itself asks for the route table; where changes
+// count as pushed, the loop keeps the watch open.
+func (d *Dispatcher) asked() bool { return d.Settings.Membership == "on_request" }
+
 // drain takes in what else was posted, without waiting.
 func (d *Dispatcher) drain() {
 	for {
@@ -244,6 +253,8 @@
 		case sweeping:
 			d.Egress.Sweep()
 			d.wheel.Set(now+sweep, sweeping{})
+		case again:
+			d.subscribe()
 		case looking:
 			// A connection that has not brought a request yet gets some time to do so.
 			d.ingress.CloseIdle(250 * time.Millisecond)
@@ -468,6 +479,9 @@
 			d.Log("discovery watch ended: %v", p.err)
 		}
 		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
+		if !d.asked() {
+			d.wheel.Set(d.clock()+askAgain, again{})
+		}
 		return
 	}
 	for _, addr := range d.table.Apply(p.up, d.clock()) {
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,276 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/ingress"
+	"example.org/bellstream/internal/route"
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/wiretest"
+)
+
+const options = `{"me":0,"balancers":1,"zone":"z","membership_mode":"on_request","round":0.004,"kinds":["k"],
+ "lanes":[{"name":"safe","aim":0.5,"hard_limit":2,"semantics":"safe","value":1},
+  {"name":"unsafe","aim":0.5,"hard_limit":3,"semantics":"unsafe","value":1},
+  {"name":"keyed","aim":0.5,"hard_limit":2,"semantics":"keyed","dedup_scope":"zone","repeat_window":9,"value":1}],
+ "caps":{"max_attempts":3,"probes":true,"cancelling":true,"dial_timeout":0.25,"retry_after":true,"max_retry_after":2},
+ "family_info":{"report_x0":"free slots","tells_start":true},"reporting":{"how":"pull","fields":["x0"]},
+ "parties":[{"name":"acme","quota_per_s":20}],"rules":{"ask_every":10,"grace_to_answer":0.016}}`
+
+const known = `{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"1:1","site":"z","class":"k","health":"active"},
+ {"host":"b","dial":"1:2","site":"z","class":"k","health":"active"}]}`
+
+// rig is a dispatcher whose clock, sockets and posts are the test's.
+type rig struct {
+	*Dispatcher
+	t      *testing.T
+	now    time.Time
+	jobs   []*jobModel
+	out    []*hopModel
+	probes []func(egress.News)
+	watch  int
+}
+
+// jobModel is a request as the rules see it.
+type jobModel struct {
+	req     *ingress.Request
+	sent    time.Time
+	answers []int
+	left    bool
+	mayRan  bool // an attempt may have run
+	hops    int
+	out     *hopModel
+}
+
+type hopModel struct {
+	j    *jobModel
+	tell func(egress.News)
+	over bool
+}
+
+// Abandon is how the dispatcher ends a hop.
+func (h *hopModel) Abandon() { h.end(true) }
+
+func (h *hopModel) end(mayRan bool) {
+	if !h.over {
+		h.over, h.j.out = true, nil
+		h.j.mayRan = h.j.mayRan || mayRan
+	}
+}
+
+func (r *rig) Start(o *egress.Order, addr string, tell func(egress.News)) egress.Hop {
+	j := r.jobs[0]
+	for _, j = range r.jobs {
+		if j.req.ID == o.ID && len(j.answers) == 0 {
+			break
+		}
+	}
+	switch {
+	case j.out != nil:
+		r.t.Fatalf("%s: two attempts out at once", o.ID)
+	case len(j.answers) > 0 || j.left:
+		r.t.Fatalf("%s: sent after its end", o.ID)
+	case j.req.Class == "unsafe" && j.mayRan:
+		r.t.Fatalf("%s: sent again though it may have run", o.ID)
+	case j.hops == 3:
+		r.t.Fatalf("%s: a fourth attempt", o.ID)
+	}
+	h := &hopModel{j: j, tell: tell}
+	j.out, j.hops, r.out = h, j.hops+1, append(r.out, h)
+	return h
+}
+
+func (r *rig) Probe(addr string, fields []string, tell func(egress.News)) {
+	r.probes = append(r.probes, tell)
+}
+func (r *rig) Forget(string)           {}
+func (r *rig) Sweep()                  {}
+func (r *rig) Taken() int              { return 0 }
+func (r *rig) Open() int               { return 0 }
+func (r *rig) CloseIdle(time.Duration) {}
+
+func newRig(t *testing.T) *rig {
+	s, err := settings.Parse([]byte(options))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, now: time.Unix(1e9, 0)}
+	r.Dispatcher, err = New(Options{Settings: s, Seed: 1, Known: []byte(known), Egress: r, Phases: &Phases{},
+		Log: func(string, ...any) {}, Now: func() time.Time { return r.now },
+		Watch: func(ctx context.Context, _ int64, _ func(*route.Update)) error { <-ctx.Done(); return ctx.Err() }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.ingress = r
+	r.pass(0)
+	return r
+}
+
+// pass lets time go by in rounds, as the loop would.
+func (r *rig) pass(d time.Duration) {
+	for end := r.now.Add(d); ; r.now = r.now.Add(4 * time.Millisecond) {
+		r.drain()
+		r.turn(r.clock())
+		r.finished(r.clock())
+		if !r.now.Before(end) {
+			return
+		}
+	}
+}
+
+func (r *rig) arrive(id, class string, timeout time.Duration) *jobModel {
+	j := &jobModel{sent: r.now}
+	j.req = &ingress.Request{ID: id, Class: class, Tenant: "acme", Method: "POST", URI: "/" + class, Slots: 1,
+		Arrived: r.now, Timeout: timeout,
+		Answer: func(a ingress.Answer) {
+			if j.answers = append(j.answers, a.Status); len(j.answers) > 1 || j.left {
+				r.t.Fatalf("%s: answered %v, left %v", id, j.answers, j.left)
+			}
+			if late := r.now.Sub(j.sent) - j.req.Timeout; late > 16*time.Millisecond {
+				r.t.Fatalf("%s: answered %v after its deadline", id, late)
+			}
+			// A refusal says that a retry is harmless.
+			if a.Status == 503 && class != "safe" && (j.mayRan || j.out != nil) {
+				r.t.Fatalf("%s: refused though it may have run", id)
+			}
+		}}
+	r.jobs = append(r.jobs, j)
+	r.take(arrived{j.req})
+	return j
+}
+
+var outcomes = []balance.Outcome{balance.Served, balance.Errored, balance.Full, balance.Unreachable, balance.Broken}
+
+// FuzzRequests plays random steps of clients, targets, discovery and time
+// against the rules: one answer in time for each request, one attempt at a
+// time, nothing sent that may take effect twice.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15})
+	f.Add([]byte{0, 3, 19, 0, 3, 35, 0, 3, 51, 0, 3, 67, 0, 3, 83, 9, 9, 9})
+	f.Add([]byte{0, 16, 32, 3, 3, 6, 22, 7, 9, 25, 8, 4, 0, 10, 3, 9, 9})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := newRig(t)
+		wiretest.Steps(data, 200, func(b byte) {
+			step, arg := int(b)%16, int(b)/16
+			switch step {
+			case 0, 1, 2:
+				r.arrive(fmt.Sprint(len(r.jobs)), []string{"safe", "unsafe", "keyed"}[step], 1500*time.Millisecond)
+			case 3, 4, 5: // a hop ends
+				if len(r.out) > 0 {
+					h := r.out[arg%len(r.out)]
+					o := outcomes[arg%len(outcomes)]
+					h.end(o != balance.Full && o != balance.Unreachable)
+					h.tell(egress.News{Outcome: o, Result: []byte("x")})
+				}
+			case 6: // a job starts
+				if len(r.out) > 0 {
+					r.out[arg%len(r.out)].tell(egress.News{})
+				}
+			case 7: // a client leaves
+				if len(r.jobs) > 0 {
+					if j := r.jobs[arg%len(r.jobs)]; len(j.answers) == 0 && !j.left {
+						j.left = true
+						r.take(left{j.req})
+						if j.out != nil {
+							t.Fatal("the hop of a client that left stays out")
+						}
+					}
+				}
+			case 8:
+				for _, tell := range r.probes {
+					tell(egress.News{Outcome: outcomes[arg%len(outcomes)], Report: []float64{2}})
+				}
+				r.probes = nil
+			case 9:
+				r.pass(time.Duration(arg+1) * 100 * time.Millisecond)
+			case 10:
+				health := []string{"active", "leaving", "left"}[arg%3]
+				u, _ := route.Parse([]byte(`{"seq":2,"hosts":[{"host":"a","dial":"1:1","site":"z","class":"k","health":"` + health + `"}]}`))
+				r.take(routeNews{watch: r.watchNo, up: u})
+			case 11:
+				r.take(routeNews{watch: r.watchNo, err: context.DeadlineExceeded})
+			case 12: // an id that is held already must not disturb the first
+				if len(r.jobs) > 0 && len(r.jobs[len(r.jobs)-1].answers) == 0 && !r.jobs[len(r.jobs)-1].left {
+					status := 0
+					r.take(arrived{&ingress.Request{ID: r.jobs[len(r.jobs)-1].req.ID, Class: "safe",
+						Answer: func(a ingress.Answer) { status = a.Status }}})
+					if status != 409 {
+						t.Fatalf("a repeated id got %d", status)
+					}
+				}
+			case 13:
+				if arg == 15 {
+					r.take(stop{})
+				}
+			}
+			r.pass(4 * time.Millisecond)
+			live := r.out[:0]
+			for _, h := range r.out {
+				if !h.over {
+					live = append(live, h)
+				}
+			}
+			r.out = live
+		})
+		r.pass(2 * time.Second)
+		for _, j := range r.jobs {
+			if len(j.answers) == 0 && !j.left || j.out != nil {
+				t.Fatalf("%s: answers %v, left %v, out %v after its deadline", j.req.ID, j.answers, j.left, j.out != nil)
+			}
+		}
+		if len(r.held) > 0 {
+			t.Fatalf("%d requests are still held", len(r.held))
+		}
+	})
+}
+
+// A stop is followed by answers for all, in the drain's time, and by the end.
+func TestDrain(t *testing.T) {
+	r := newRig(t)
+	if !r.Phases.Ready() {
+		t.Fatalf("phase %v with a known list", r.Phases.Now())
+	}
+	a := r.arrive("a", "unsafe", time.Hour)
+	r.pass(20 * time.Millisecond)
+	for _, tell := range r.probes {
+		tell(egress.News{Outcome: balance.Served, Report: []float64{1}})
+	}
+	r.pass(20 * time.Millisecond)
+	if a.out == nil {
+		t.Fatal("not sent")
+	}
+	r.take(stop{})
+	r.pass(2900 * time.Millisecond)
+	if r.Phases.Now() != Draining || len(a.answers) > 0 {
+		t.Fatalf("phase %v, answers %v before the drain's time is over", r.Phases.Now(), a.answers)
+	}
+	r.pass(200 * time.Millisecond)
+	if len(a.answers) != 1 || a.answers[0] == 503 || a.out != nil {
+		t.Fatalf("answers %v: what may have run must fail, not be refused", a.answers)
+	}
+	r.pass(300 * time.Millisecond)
+	if r.Phases.Now() != Stopped {
+		t.Fatalf("phase %v at the end", r.Phases.Now())
+	}
+	if r.Phases.Enter(Serving) {
+		t.Error("a phase was entered again")
+	}
+}
+
+// A watch that another has replaced has no say: its end must not undo the new one.
+func TestReplacedWatchIsIgnored(t *testing.T) {
+	r := newRig(t)
+	r.subscribe()
+	old := r.watchNo
+	r.subscribe()
+	r.events = nil
+	r.take(routeNews{watch: old, err: context.Canceled})
+	if len(r.events) > 0 {
+		t.Errorf("got %v from a replaced watch", r.events)
+	}
+}
--- /dev/null
+++ b/internal/egress/egress_test.go
@@ -0,0 +1,241 @@
+package egress
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/wiretest"
+)
+
+const (
+	started = `{"id":"r","from":"s","state":"started"}`
+	running = `{"id":"r","from":"s","state":"running","share":0.4}`
+	done    = `{"id":"r","from":"s","state":"done","result":"ok","load":{"x0":3,"x1":2}}`
+)
+
+// scripts are ways in which a target can answer, with the outcome that
+// PROTOCOL's table gives each and whether the connection may be used again.
+var scripts = []struct {
+	name, raw string
+	hangUp    bool // the target closes behind it
+	want      balance.Outcome
+	reuse     bool
+}{
+	{"served", wiretest.Lines(true, started, running, done), false, balance.Served, true},
+	{"served with a novel state", wiretest.Lines(true, `{"state":"novel","x":[1]}`, "", done), false, balance.Served, true},
+	{"served, no last chunk", wiretest.Lines(false, done), true, balance.Served, false},
+	{"failed", wiretest.Lines(true, started, `{"id":"r","state":"failed"}`), false, balance.Errored, true},
+	{"returned", wiretest.Lines(true, `{"id":"r","state":"returned"}`), false, balance.Full, true},
+	{"lost", wiretest.Lines(true, started, `{"id":"r","state":"lost"}`), false, balance.Broken, true},
+	{"ends before the last line", wiretest.Lines(true, started, running), false, balance.Broken, false},
+	{"breaks in a line", wiretest.Lines(false, started) + "40\r\n{\"id", true, balance.Broken, false},
+	{"malformed line", wiretest.Lines(true, "{nonsense"), false, balance.Broken, false},
+	{"another's line", wiretest.Lines(true, `{"id":"q","state":"done","result":"no"}`), false, balance.Broken, false},
+	{"no result", wiretest.Lines(true, `{"id":"r","state":"done"}`), false, balance.Broken, false},
+	{"no answer", "", true, balance.Broken, false},
+	{"not HTTP", "nonsense\r\n\r\n", false, balance.Broken, false},
+	{"500", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", false, balance.Errored, true},
+	{"503 unstarted", "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 2\r\n\r\nno", false, balance.Full, true},
+	{"504 unstarted", "HTTP/1.1 504 No\r\nNot-Started: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true, balance.Full, false},
+	{"503 maybe started", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, balance.Errored, true},
+	{"404", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", false, balance.Errored, true},
+}
+
+func newPool() *Pool {
+	return &Pool{Max: 8, Dial: 5 * time.Second, Keep: time.Hour, Now: time.Now}
+}
+
+func order() *Order {
+	return &Order{ID: "r", Method: "POST", URI: "/c/x?y=1", IdempotencyKey: "k", Body: []byte("body"),
+		Deadline: time.Now().Add(time.Hour), Fields: []string{"x0", "x1"}}
+}
+
+// idle is how many connections the pool holds in reserve, open how many at all.
+func (p *Pool) counts() (idle, open int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle), p.open
+}
+
+// outcome takes the news up to the hop's end.
+func outcome(t *testing.T, news <-chan News) News {
+	t.Helper()
+	for {
+		if n := wiretest.Get(t, news, "a hop's outcome"); n.Outcome != "" {
+			return n
+		}
+	}
+}
+
+// FuzzHops plays hops one after another against the model: one connection is
+// in reserve or none is; a hop uses it or opens the next; its outcome and
+// whether the connection returns are those of the script.
+func FuzzHops(f *testing.F) {
+	for i := range scripts {
+		f.Add([]byte{byte(i), 0, byte(i)})
+	}
+	f.Add([]byte{0, 200, 201, 0, 202, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		target, p := wiretest.NewTarget(t), newPool()
+		conns, reserve := 0, false // the model: connections opened so far, and whether the last is idle
+		wiretest.Steps(data, 24, func(b byte) {
+			news := make(chan News, 16)
+			h := p.Start(order(), target.Addr, func(n News) { news <- n })
+			call := wiretest.Get(t, target.Calls, "a request")
+			if !reserve {
+				conns++
+			}
+			if call.No != conns {
+				t.Fatalf("request came on connection %d, want %d", call.No, conns)
+			}
+			if b >= 200 { // abandoned: the target must see the end before anything else may go out
+				h.Abandon()
+				h.Abandon()
+				wiretest.Get(t, target.Ends, "the end of an abandoned hop")
+				reserve = false
+			} else {
+				s := scripts[int(b)%len(scripts)]
+				call.Reply(s.raw)
+				if s.hangUp {
+					call.Close()
+				}
+				n := outcome(t, news)
+				if n.Outcome != s.want || n.Outcome == balance.Served && (string(n.Result) != "ok" || len(n.Report) != 2) {
+					t.Fatalf("%s: got %+v, want %s", s.name, n, s.want)
+				}
+				if reserve = s.reuse; !reserve {
+					wiretest.Get(t, target.Ends, "the end of a spent connection")
+				}
+			}
+			wiretest.Until(t, "the pool to settle", func() bool {
+				idle, open := p.counts()
+				return idle == open && (idle == 1) == reserve
+			})
+		})
+		p.Forget(target.Addr)
+		if idle, open := p.counts(); idle != 0 || open != 0 {
+			t.Fatalf("%d idle and %d open connections are left", idle, open)
+		}
+	})
+}
+
+func TestRequestPassesUnchanged(t *testing.T) {
+	target, p := wiretest.NewTarget(t), newPool()
+	o := order()
+	o.Deadline = time.Now().Add(time.Minute)
+	h := p.Start(o, target.Addr, func(News) {})
+	defer h.Abandon()
+	c := wiretest.Get(t, target.Calls, "a request")
+	got := []string{c.Req.Method, c.Req.RequestURI, c.Body, c.Req.Header.Get("Request-Id"), c.Req.Header.Get("Idempotency-Key")}
+	if want := "POST /c/x?y=1 body r k"; strings.Join(got, " ") != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	// What goes outwards is the time that is left, not what the client stated.
+	left, err := time.ParseDuration(c.Req.Header.Get("Request-Timeout") + "s")
+	if err != nil || left > time.Minute || left < 50*time.Second {
+		t.Errorf("Request-Timeout %v (%v), want just under a minute", left, err)
+	}
+}
+
+// A target that has closed an idle connection must not cost a job: unsafe
+// ones can't be sent again after a reset.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	target, p := wiretest.NewTarget(t), newPool()
+	for no := 1; no <= 2; no++ {
+		news := make(chan News, 4)
+		p.Start(order(), target.Addr, func(n News) { news <- n })
+		call := wiretest.Get(t, target.Calls, "a request")
+		if call.No != no {
+			t.Fatalf("connection %d, want %d", call.No, no)
+		}
+		call.Reply(wiretest.Lines(true, done))
+		if n := outcome(t, news); n.Outcome != balance.Served {
+			t.Fatalf("got %+v", n)
+		}
+		wiretest.Until(t, "the connection's return", func() bool { idle, _ := p.counts(); return idle == 1 })
+		call.Close()
+		p.idle[0].Read(nil)
+		p.idle[0].SetReadDeadline(time.Now().Add(time.Minute))
+		if _, err := p.idle[0].r.Peek(1); err == nil {
+			t.Fatal("the close has not arrived")
+		}
+	}
+}
+
+func TestIdleConnectionsAreDroppedInTime(t *testing.T) {
+	target, p := wiretest.NewTarget(t), newPool()
+	now := time.Now()
+	p.Keep, p.Now = 10*time.Second, func() time.Time { return now }
+	p.Probe(target.Addr, nil, func(News) {})
+	wiretest.Get(t, target.Calls, "a probe").Reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	wiretest.Until(t, "the connection's return", func() bool { idle, _ := p.counts(); return idle == 1 })
+	p.Sweep()
+	if idle, _ := p.counts(); idle != 1 {
+		t.Fatal("dropped at once")
+	}
+	now = now.Add(11 * time.Second)
+	p.Sweep()
+	if idle, open := p.counts(); idle != 0 || open != 0 {
+		t.Fatalf("%d idle, %d open after their time", idle, open)
+	}
+}
+
+func TestProbes(t *testing.T) {
+	target, p := wiretest.NewTarget(t), newPool()
+	for _, c := range []struct {
+		raw    string
+		hangUp bool
+		want   balance.Outcome
+		report int
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"x0\":3,\"x1\":2}", false, balance.Served, 2},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"x0\":\"no\"}", false, balance.Served, 0},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nno!", false, balance.Served, 0},
+		{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, balance.Full, 0},
+		{"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", false, balance.Errored, 0},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{", true, balance.Broken, 0},
+	} {
+		news := make(chan News, 1)
+		p.Probe(target.Addr, []string{"x0", "x1"}, func(n News) { news <- n })
+		call := wiretest.Get(t, target.Calls, "a probe")
+		if call.Req.RequestURI != "/load" {
+			t.Errorf("asked for %s", call.Req.RequestURI)
+		}
+		call.Reply(c.raw)
+		if c.hangUp {
+			call.Close()
+		}
+		if n := wiretest.Get(t, news, "an outcome"); n.Outcome != c.want || len(n.Report) != c.report {
+			t.Errorf("%q: got %+v, want %s with %d figures", c.raw, n, c.want, c.report)
+		}
+	}
+}
+
+// What never got a connection has not run. Having no descriptor is not the
+// target's fault: it must not count as lost.
+func TestUnsent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := l.Addr().String()
+	l.Close()
+	target, p := wiretest.NewTarget(t), newPool()
+	p.Max = 1
+	news := make(chan News, 1)
+	p.Start(order(), refusing, func(n News) { news <- n })
+	if n := wiretest.Get(t, news, "an outcome"); n.Outcome != balance.Unreachable {
+		t.Errorf("refused: got %+v", n)
+	}
+	h := p.Start(order(), target.Addr, func(News) {})
+	wiretest.Get(t, target.Calls, "a request")
+	p.Start(order(), target.Addr, func(n News) { news <- n })
+	if n := wiretest.Get(t, news, "an outcome"); n.Outcome != balance.Full {
+		t.Errorf("no place left: got %+v", n)
+	}
+	h.Abandon()
+	wiretest.Until(t, "the place to be free again", func() bool { _, open := p.counts(); return open == 0 })
+}
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -41,18 +41,24 @@
 	Why     string // for the log
 }
 
-// Hop is one attempt. Its goroutine alone reads and writes its connection.
-type Hop struct {
+// Hop is one attempt that is out.
+type Hop interface {
+	// Abandon ends the hop from outside. When it returns the connection is
+	// closed or will never be opened, so no byte of the hop leaves any more
+	// and another attempt may go out.
+	Abandon()
+}
+
+// hop is a Hop on a connection of a pool, which its goroutine alone reads and
+// writes.
+type hop struct {
 	mu     sync.Mutex
 	conn   *conn
 	over   bool
 	cancel context.CancelFunc
 }
 
-// Abandon ends a hop from outside. When it returns the connection is closed
-// or will never be opened, so no byte of the hop leaves any more and another
-// attempt may go out.
-func (h *Hop) Abandon() {
+func (h *hop) Abandon() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.over {
@@ -66,7 +72,7 @@
 }
 
 // hold ties a connection to the hop, unless the hop was abandoned meanwhile.
-func (h *Hop) hold(c *conn) bool {
+func (h *hop) hold(c *conn) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.conn = c
@@ -74,7 +80,7 @@
 }
 
 // free unties the connection; false if the hop was abandoned.
-func (h *Hop) free() bool {
+func (h *hop) free() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.conn = nil
@@ -86,9 +92,9 @@
 
 // Start sends an order to the address. All news comes by tell, from the hop's
 // goroutine; after Abandon it may still be called.
-func (p *Pool) Start(o *Order, addr string, tell func(News)) *Hop {
+func (p *Pool) Start(o *Order, addr string, tell func(News)) Hop {
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Hop{cancel: cancel}
+	h := &hop{cancel: cancel}
 	by := time.Now().Add(p.Dial)
 	go func() {
 		defer cancel()
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -23,6 +23,7 @@
 	Max  int           // connections at one time, busy ones included
 	Dial time.Duration // until a connection counts as failed
 	Keep time.Duration // an idle connection is not used after this
+	Now  func() time.Time
 
 	mu   sync.Mutex
 	open int
@@ -90,7 +91,7 @@
 // put gives back a connection on which nothing is out.
 func (p *Pool) put(c *conn) {
 	c.SetDeadline(time.Time{})
-	c.since = time.Now()
+	c.since = p.Now()
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
 	p.mu.Unlock()
@@ -113,7 +114,7 @@
 // them at caps.keepalive, and a request that crosses that close is a reset,
 // which an unsafe job does not survive.
 func (p *Pool) sweep() {
-	for len(p.idle) > 0 && time.Since(p.idle[0].since) > p.Keep {
+	for len(p.idle) > 0 && p.Now().Sub(p.idle[0].since) > p.Keep {
 		p.drop(0)
 	}
 }
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,243 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"example.org/bellstream/internal/wiretest"
+)
+
+// desk is the other side of the Desk and Phase interfaces, played by the test.
+type desk struct {
+	arrivals, leaves chan *Request
+	ending           atomic.Bool
+}
+
+func (d *desk) Arrive(r *Request) { d.arrivals <- r }
+func (d *desk) Leave(r *Request)  { d.leaves <- r }
+func (d *desk) Ready() bool       { return !d.Ending() }
+func (d *desk) Ending() bool      { return d.ending.Load() }
+
+var classes = map[string]Class{"safe": {Deadline: 5 * time.Second}, "keyed": {Keyed: true, Deadline: 8 * time.Second}}
+
+func start(t *testing.T, most int) (*Server, *desk, *wiretest.Listener) {
+	d := &desk{arrivals: make(chan *Request, 64), leaves: make(chan *Request, 64)}
+	s, l := NewServer(classes, d, d, most, t.Logf), wiretest.NewListener()
+	go s.Serve(l)
+	t.Cleanup(func() { l.Close() })
+	return s, d, l
+}
+
+func job(id string) string {
+	return "POST /safe/a?b=1 HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: " + id + "\r\nRequest-Class: safe\r\nTenant: acme\r\n" +
+		"Request-Timeout: 0.480\r\nRequest-Info: slots=2,memory=1.5,novel=x\r\nContent-Length: 4\r\n\r\nbody"
+}
+
+// The states of a client connection in the model.
+const (
+	closed  = iota
+	idle    // between requests
+	partial // half a request was sent
+	held    // the desk has the request
+)
+
+// FuzzConnection plays random steps of a client, the desk and the phase
+// against the model above: what the desk is told, what the client reads and
+// when the connection ends.
+func FuzzConnection(f *testing.F) {
+	f.Add([]byte{0, 3, 0, 4, 0, 3})
+	f.Add([]byte{1, 2, 3, 1, 4, 5, 6, 0, 8, 3, 6})
+	f.Add([]byte{1, 7, 2, 3, 7, 0, 7, 3})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, d, l := start(t, 8)
+		state, n := closed, 0
+		var c *wiretest.Client
+		var r *Request
+		answer := func() {
+			ending := d.Ending()
+			r.Answer(Answer{Status: 200 + n%2*303, Body: []byte("result"), RetryAfter: 0.25})
+			if got, body := c.Status(t); got != 200+n%2*303 || body != "result" {
+				t.Fatalf("request %d: got %d %q", n, got, body)
+			}
+			if state = idle; ending {
+				c.Ended(t)
+				c.Close()
+				state = closed
+			}
+		}
+		take := func() {
+			r, state = wiretest.Get(t, d.arrivals, "an arrival"), held
+			if r.ID != fmt.Sprint(n) || string(r.Body) != "body" || r.Slots != 2 || r.URI != "/safe/a?b=1" {
+				t.Fatalf("request %d arrived as %+v", n, r)
+			}
+		}
+		wiretest.Steps(data, 40, func(b byte) {
+			if state == closed {
+				c, state = l.Dial(), idle
+			}
+			step := int(b) % 9
+			half := len(job(fmt.Sprint(n))) / 2
+			switch {
+			case step == 0 && state == idle:
+				n++
+				io.WriteString(c, job(fmt.Sprint(n)))
+				take()
+			case step == 1 && state == idle:
+				n++
+				io.WriteString(c, job(fmt.Sprint(n))[:half])
+				state = partial
+			case step == 2 && state == partial:
+				io.WriteString(c, job(fmt.Sprint(n))[half:])
+				take()
+			case step == 3 && state == held:
+				answer()
+			case step == 4:
+				c.Close()
+				if state == held && wiretest.Get(t, d.leaves, "a client's leaving") != r {
+					t.Fatal("another request's client left")
+				}
+				state = closed
+			case step == 5 && state == idle:
+				go io.WriteString(c, "nonsense\r\n\r\n")
+				if got, _ := c.Status(t); got != 400 {
+					t.Fatalf("nonsense got %d", got)
+				}
+				c.Ended(t)
+				c.Close()
+				state = closed
+			case step == 6 && state == idle:
+				io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+				if got, _ := c.Status(t); (got == 200) == d.Ending() {
+					t.Fatalf("health check got %d", got)
+				}
+				if d.Ending() {
+					c.Ended(t)
+					c.Close()
+					state = closed
+				}
+			case step == 7 && state == idle:
+				ended := make(chan struct{})
+				go func() { defer close(ended); c.R.ReadByte() }()
+				wiretest.Until(t, "an idle connection to close", func() bool {
+					s.CloseIdle(0) // as often as it takes: the server may not have taken the connection in yet
+					select {
+					case <-ended:
+						return true
+					default:
+						return false
+					}
+				})
+				c.Close()
+				state = closed
+			case step == 7:
+				s.CloseIdle(0) // must not touch what is held; half a request may go either way
+				if state == partial {
+					c.Close()
+					state = closed
+				}
+			case step == 8:
+				d.ending.Store(true)
+			}
+		})
+		if state == held {
+			answer()
+		}
+		if c != nil {
+			c.Close()
+		}
+		wiretest.Until(t, "the connections' end", func() bool { return s.Open() == 0 && s.Taken() == 0 })
+		if len(d.arrivals)+len(d.leaves) > 0 {
+			t.Fatalf("%d arrivals and %d leavings too many", len(d.arrivals), len(d.leaves))
+		}
+	})
+}
+
+func TestTurnedAwayAtTheDoor(t *testing.T) {
+	s, d, l := start(t, 8)
+	s.slowest = 20 * time.Millisecond
+	head := "Host: x\r\nRequest-Id: a\r\nContent-Length: 0\r\n"
+	for _, c := range []struct {
+		name, raw string
+		want      int
+	}{
+		{"path", "POST /other HTTP/1.1\r\n" + head + "\r\n", 404},
+		{"method", "GET /safe HTTP/1.1\r\n" + head + "\r\n", 405},
+		{"health method", "POST /healthz HTTP/1.1\r\n" + head + "\r\n", 405},
+		{"no id", "POST /safe HTTP/1.1\r\nHost: x\r\n\r\n", 400},
+		{"class", "POST /safe HTTP/1.1\r\n" + head + "Request-Class: keyed\r\n\r\n", 400},
+		{"no key", "POST /keyed HTTP/1.1\r\n" + head + "\r\n", 400},
+		{"time-out", "POST /safe HTTP/1.1\r\n" + head + "Request-Timeout: NaN\r\n\r\n", 400},
+		{"figure", "POST /safe HTTP/1.1\r\n" + head + "Request-Info: slots=many\r\n\r\n", 400},
+		{"long body", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: 65537\r\n\r\n", 413},
+		{"long chunks", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" +
+			strings.Repeat("x", 65537) + "\r\n0\r\n\r\n", 413},
+		{"endless head", "POST /safe HTTP/1.1\r\n" + strings.Repeat("X-Y: z\r\n", 8000), 431},
+		{"slow head", "POST /safe HTTP/1.1\r\nHost:", 408},
+		{"slow body", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\nb", 408},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := l.Dial()
+			defer client.Close()
+			go io.WriteString(client, c.raw)
+			if got, _ := client.Status(t); got != c.want {
+				t.Errorf("got %d, want %d", got, c.want)
+			}
+		})
+	}
+	if len(d.arrivals) > 0 {
+		t.Errorf("%d requests reached the desk", len(d.arrivals))
+	}
+}
+
+// When all places are busy a client still gets a whole answer.
+func TestCrowdedServerSheds(t *testing.T) {
+	_, d, l := start(t, 1)
+	first := l.Dial()
+	defer first.Close()
+	io.WriteString(first, job("1"))
+	r := wiretest.Get(t, d.arrivals, "an arrival")
+	second := l.Dial()
+	defer second.Close()
+	io.WriteString(second, job("2"))
+	if got, _ := second.Status(t); got != 503 {
+		t.Errorf("got %d, want 503", got)
+	}
+	r.Answer(Answer{Status: 200})
+	if got, _ := first.Status(t); got != 200 {
+		t.Errorf("got %d, want 200", got)
+	}
+}
+
+// A listener that runs out of descriptors must not end the program.
+func TestAcceptErrorIsNoEnd(t *testing.T) {
+	d := &desk{arrivals: make(chan *Request, 1)}
+	l := &failing{Listener: wiretest.NewListener()}
+	s := NewServer(classes, d, d, 8, t.Logf)
+	go s.Serve(l)
+	c := l.Dial()
+	defer c.Close()
+	io.WriteString(c, job("1"))
+	wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
+	if got, _ := c.Status(t); got != 200 {
+		t.Errorf("got %d, want 200", got)
+	}
+	l.Close()
+}
+
+type failing struct {
+	*wiretest.Listener
+	failed bool
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if !f.failed {
+		f.failed = true
+		return nil, fmt.Errorf("too many open files")
+	}
+	return f.Listener.Accept()
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -28,7 +28,9 @@
 	Slots, Memory     float64
 	Arrived           time.Time     // when its last byte was read
 	Timeout           time.Duration // how long the client waits
-	answer            chan Answer
+	// Answer gives the one final answer. It must be called once for every
+	// request taken whose client has not left, and does not wait.
+	Answer func(Answer)
 }
 
 // Answer is what a client is told in the end.
@@ -38,10 +40,6 @@
 	RetryAfter float64 // seconds; 0 means no advice
 }
 
-// Answer hands over the request's one final answer. It must be called once for
-// every request taken whose client has not left.
-func (r *Request) Answer(a Answer) { r.answer <- a }
-
 // Class is what ingress must know of a class of requests.
 type Class struct {
 	Keyed    bool
@@ -84,7 +82,7 @@
 	h := r.Header
 	q := &Request{ID: h.Get("Request-Id"), Class: class, Tenant: h.Get("Tenant"), Method: r.Method,
 		URI: r.RequestURI, IdempotencyKey: h.Get("Idempotency-Key"), Retry: h.Get("Client-Retry") == "1",
-		Slots: 1, Timeout: s.classes[class].Deadline, answer: make(chan Answer, 1)}
+		Slots: 1, Timeout: s.classes[class].Deadline}
 	switch {
 	case q.ID == "" || len(q.ID) > 128:
 		return nil, bad("Request-Id is missing or too long")
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -15,7 +15,7 @@
 // Limits of one connection.
 const (
 	maxHead  = 32 << 10
-	readTime = 10 * time.Second // from a request's first byte to its last
+	slowest  = 10 * time.Second // from a request's first byte to its last
 	idleTime = 2 * time.Minute  // between requests
 	sendTime = 5 * time.Second  // to write an answer
 	spare    = 32               // connections beyond the most that are turned away in good form
@@ -39,6 +39,7 @@
 	desk    Desk
 	phase   Phase
 	most    int // connections at one time
+	slowest time.Duration
 	log     func(format string, args ...any)
 
 	mu    sync.Mutex
@@ -50,7 +51,7 @@
 // NewServer makes a server for the given classes, by name, that holds most
 // connections at one time.
 func NewServer(classes map[string]Class, desk Desk, phase Phase, most int, log func(string, ...any)) *Server {
-	return &Server{classes: classes, desk: desk, phase: phase, most: most, log: log,
+	return &Server{classes: classes, desk: desk, phase: phase, most: most, slowest: slowest, log: log,
 		conns: map[*conn]bool{}, seats: make(chan struct{}, most+spare)}
 }
 
@@ -148,7 +149,7 @@
 		c.since = time.Now()
 		c.SetReadDeadline(c.since.Add(idleTime))
 	} else {
-		c.SetReadDeadline(time.Now().Add(readTime))
+		c.SetReadDeadline(time.Now().Add(s.slowest))
 	}
 }
 
@@ -214,6 +215,8 @@
 	if c.shed {
 		return false, s.send(c, Answer{Status: http.StatusServiceUnavailable, RetryAfter: 1}, true, false)
 	}
+	answer := make(chan Answer, 1)
+	q.Answer = func(a Answer) { answer <- a }
 	s.taken.Add(1)
 	defer s.taken.Add(-1)
 	c.limit.N = maxHead
@@ -223,14 +226,14 @@
 	var a Answer
 	early := false
 	select {
-	case a = <-q.answer:
+	case a = <-answer:
 	case err := <-next:
 		if err != nil {
 			s.desk.Leave(q)
 			return false, errLeft
 		}
 		early = true // it has sent on: its next request waits its turn
-		a = <-q.answer
+		a = <-answer
 	}
 	last := s.phase.Ending() || r.Close
 	if early {
@@ -278,8 +281,9 @@
 	if err != nil {
 		return
 	}
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.CloseWrite()
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok || t.CloseWrite() != nil {
+		return
 	}
 	c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
 	io.CopyN(io.Discard, c.Conn, 2*maxBody)
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,120 @@
+package route
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/wiretest"
+)
+
+const (
+	whole  = `{"seq":41,"whole":true,"novel":1,"hosts":[{"host":"a","dial":"1:1","site":"z","class":"k","block":3,"health":"active","born_ms":1500},{"host":"b","dial":"1:2","health":"active"}]}`
+	change = `{"seq":42,"whole":false,"hosts":[{"host":"a","dial":"1:9","health":"leaving"},{"host":"b","dial":"1:2","health":"left"}]}`
+)
+
+func TestTable(t *testing.T) {
+	table := NewTable()
+	u, err := Parse([]byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := u.Entries[0].WorkerInfo; w != (balance.WorkerInfo{ID: "a", Zone: "z", Kind: "k", Cell: 3, State: balance.Running, Started: 1.5}) {
+		t.Errorf("got %+v", w)
+	}
+	if r := u.Roster(); r.Kind != balance.RosterFull || len(r.Workers) != 2 {
+		t.Errorf("got %+v", r)
+	}
+	if closed := table.Apply(u, 0); len(closed) != 0 || table.Len() != 2 || table.Seq != 41 {
+		t.Errorf("closed %v, %d listed, seq %d", closed, table.Len(), table.Seq)
+	}
+	u, _ = Parse([]byte(change))
+	// Idle connections to what drains, is gone or has moved are of no more use.
+	if closed := strings.Join(table.Apply(u, 1), " "); closed != "1:1 1:2" || table.Len() != 1 {
+		t.Errorf("closed %s, %d listed", closed, table.Len())
+	}
+	if dial, ok := table.Dial("a"); dial != "1:9" || !ok {
+		t.Errorf("a is dialled at %q", dial)
+	}
+	// An empty list is a list: all that it lacks is gone, and forgotten in time.
+	empty := &Update{Seq: 43, Whole: true}
+	if closed := table.Apply(empty, 2); len(closed) != 1 || table.Len() != 0 {
+		t.Errorf("closed %v, %d listed", closed, table.Len())
+	}
+	if table.Apply(empty, 3+forget); len(table.targets) != 0 {
+		t.Errorf("%d targets are never forgotten", len(table.targets))
+	}
+}
+
+// FuzzParse holds that no line of discovery's ends the program, and that what
+// is taken in can be used.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{whole, change, `{"seq":1}`, `{"seq":1,"hosts":{}}`, `{"seq":1,"hosts":[{}]}`, `[]`, `{`,
+		`{"seq":"x","hosts":[{"host":"a","dial":"1","health":"novel","born_ms":"x"}]}`} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		u, err := Parse([]byte(s))
+		if err != nil {
+			return
+		}
+		table := NewTable()
+		table.Apply(u, 0)
+		for _, e := range u.Entries {
+			if dial, ok := table.Dial(e.ID); e.State == "" || ok && dial == "" {
+				t.Errorf("%q: %+v is dialled at %q", s, e, dial)
+			}
+		}
+	})
+}
+
+func TestWatch(t *testing.T) {
+	for _, c := range []struct {
+		name, raw string
+		hangUp    bool
+		updates   int
+		want      string
+	}{
+		{"updates", wiretest.Lines(true, whole, "", change), false, 2, "ended the watch"},
+		{"break", wiretest.Lines(false, whole), true, 1, "unexpected EOF"},
+		{"malformed", wiretest.Lines(false, whole, "{nonsense"), false, 1, "not valid JSON"},
+		{"refused", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, 0, "503"},
+		{"not HTTP", "nonsense\r\n\r\n", false, 0, "malformed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := wiretest.NewTarget(t)
+			end := make(chan error, 1)
+			var seqs []int64
+			go func() {
+				end <- Watch(context.Background(), d.Addr, 40, func(u *Update) { seqs = append(seqs, u.Seq) })
+			}()
+			call := wiretest.Get(t, d.Calls, "a watch")
+			if call.Req.RequestURI != "/v1/servers?stream=1&index=40" {
+				t.Errorf("asked for %s", call.Req.RequestURI)
+			}
+			call.Reply(c.raw)
+			if c.hangUp {
+				call.Close()
+			}
+			err := wiretest.Get(t, end, "the watch's end")
+			if err == nil || !strings.Contains(err.Error(), c.want) || len(seqs) != c.updates {
+				t.Errorf("got %v and updates %v, want %q and %d", err, seqs, c.want, c.updates)
+			}
+		})
+	}
+}
+
+// A watch on a machine that was cut off says nothing and never ends by itself.
+func TestSilentWatchEnds(t *testing.T) {
+	defer func(old time.Duration) { silence = old }(silence)
+	silence = 10 * time.Millisecond
+	d := wiretest.NewTarget(t)
+	end := make(chan error, 1)
+	go func() { end <- Watch(context.Background(), d.Addr, 0, func(*Update) {}) }()
+	wiretest.Get(t, d.Calls, "a watch").Reply(wiretest.Lines(false, whole))
+	if err := wiretest.Get(t, end, "the watch's end"); err == nil || !strings.Contains(err.Error(), "timeout") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/route/watch.go
+++ b/internal/route/watch.go
@@ -17,10 +17,11 @@
 // come before the decisions would ask once more.
 const (
 	firstAnswer = 4500 * time.Millisecond
-	silence     = 5 * time.Second
 	maxLine     = 4 << 20
 )
 
+var silence = 5 * time.Second // shorter in a test
+
 // Watch asks discovery for all changes after seq and calls each with every
 // update, in order, until the watch ends or ctx does. It always returns the
 // reason. Silence counts as an end: a cut link says nothing.
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"example.org/bellstream/balance"
+)
+
+const object = `{"me":1,"balancers":4,"zone":"fana","membership_mode":"on_request","kinds":["big","small"],"novel":{"x":[1]},
+ "lanes":[{"name":"a","aim":0.15,"hard_limit":5,"semantics":"safe","value":5},
+  {"name":"b","aim":0.3,"hard_limit":8,"semantics":"keyed","dedup_scope":"zone","repeat_window":12,"value":8}],
+ "family_info":{"class_kind":[-1,0],"class_stretch":[2,1.75],"report_x0":"free slots","report_x1":"free memory","tells_start":true},
+ "parties":[{"name":"p","quota_per_s":14,"share":0.33}],"reporting":{"fields":["avg_ms","waiting","x0","x1"],"how":"pull"},
+ "caps":{"retry_after":true,"max_retry_after":2,"dial_timeout":0.25,"keepalive":15,"max_attempts":3},"rules":{"drain_grace":2},"charges":{"probe":0.01},"round":0.004}`
+
+func TestConfig(t *testing.T) {
+	s, err := Parse([]byte(object))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Config()
+	if c.Index != 1 || c.Dispatchers != 4 || c.Zone != "fana" || !c.AskRoster || c.MaxRetryAfter != 2 || c.Tick != 0.004 || c.ProbeCharge != 0.01 {
+		t.Errorf("got %+v", c)
+	}
+	want := balance.Class{Name: "b", Aim: 0.3, Stretch: 1.75, Deadline: 8, Worth: 8, Repeat: balance.Keyed,
+		Scope: balance.ScopeZone, Window: 12, Kind: "big"}
+	if c.Classes[1] != want || c.Classes[0].Kind != "" {
+		t.Errorf("got %+v", c.Classes)
+	}
+	if got := strings.Join(c.ReportFields, ","); got != ",waiting,free_slots,free_memory" {
+		t.Errorf("report fields %s", got)
+	}
+}
+
+// A configuration that can't be used is one plain error, never a panic or a
+// dispatcher that runs on zeros.
+func TestBadConfiguration(t *testing.T) {
+	for _, c := range [][2]string{
+		{`{`, "not valid JSON"},
+		{`{"listen":5}`, "listen: unexpected Number"},
+		{`{"discovery":"x"}`, "listen: missing"},
+		{`{"listen":"x"}`, "discovery: missing"},
+		{`{"listen":"x","discovery":"x","seed":"no"}`, "seed:"},
+		{`{"listen":"x","discovery":"x","limits":{"sockets":-1}}`, "limits:"},
+		{`{"listen":"x","discovery":"x"}`, "settings: not"},
+		{`{"listen":"x","discovery":"x","settings":{"lanes":{}}}`, "lanes: not an array"},
+		{`{"listen":"x","discovery":"x","settings":{"lanes":[{"aim":"x"}]}}`, "lanes[0]: aim: unexpected String"},
+	} {
+		if _, err := ParseInstance([]byte(c[0])); err == nil || !strings.Contains(err.Error(), c[1]) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v, want %q", c[0], err, c[1])
+		}
+	}
+	i, err := ParseInstance([]byte(`{"name":"n","listen":"x","discovery":"y","seed":"8c1f30d27a5be964","known":{"seq":1},"settings":` + object + `}`))
+	if err != nil || i.Seed != 0x8c1f30d27a5be964 || string(i.Known) != `{"seq":1}` {
+		t.Errorf("got %+v, %v", i, err)
+	}
+	if _, err := Load("/does/not/exist"); err == nil {
+		t.Error("a missing file is no error")
+	}
+}
--- /dev/null
+++ b/internal/wheel/wheel_test.go
@@ -0,0 +1,50 @@
+package wheel
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestTimersFireWithTheirTick(t *testing.T) {
+	w := New[string](0.004, 100)
+	w.Set(100.010, "b") // tick 100.012
+	w.Set(100.001, "a")
+	w.Set(99, "past") // with the next tick
+	far := w.Set(103, "far")
+	w.Set(102.5, "turn") // more than one turn of the wheel ahead
+	for _, c := range []struct {
+		now  float64
+		want []string
+	}{
+		{100.003, nil}, {100.004, []string{"a", "past"}}, {100.011, nil}, {100.012, []string{"b"}},
+		{100.5, nil}, {102.499, nil}, {102.5, []string{"turn"}},
+	} {
+		if got := w.Advance(c.now); !slices.Equal(got, c.want) {
+			t.Errorf("at %v: got %v, want %v", c.now, got, c.want)
+		}
+		if next, ok := w.Next(); ok && next <= c.now {
+			t.Errorf("at %v: next look at %v", c.now, next)
+		}
+	}
+	far.Stop()
+	if got := w.Advance(110); got != nil {
+		t.Errorf("got %v after Stop", got)
+	}
+	if _, ok := w.Next(); ok {
+		t.Error("an empty wheel wants to be looked at")
+	}
+}
+
+// After a standstill of many turns all that came due fires, and only that.
+func TestStandstill(t *testing.T) {
+	w := New[int](0.004, 0)
+	for i := range 3000 {
+		w.Set(float64(i)*0.01, i)
+	}
+	if got := w.Advance(20); len(got) != 2001 {
+		t.Errorf("%d timers fired, want 2001", len(got))
+	}
+	if got := w.Advance(40); len(got) != 999 {
+		t.Errorf("%d timers fired, want 999", len(got))
+	}
+}
