Let slow clients make room, and bound what a peer may send without end

Seen by reading the code for what a hostile or broken peer could hold: - ingress/server.go, evict: only idle connections made room, so clients that send half a head (10 s each) could keep all others out. Now the connection that has owed a whole request for longest goes, idle or reading, and a request has 5 s to arrive. A request is taken with its last byte, so none is lost. - egress/hop.go and route/watch.go: http.ReadResponse reads a head without limit. Heads end at 32 KiB, a target's answer at 4 MiB. - accept errors are logged once a second, not a hundred times. Connection states are named (idle, reading, held, evicted) in one place, enter(). Tests: TestSlowClientsMakeRoom and two scripts in FuzzHops; all three fail without the change.

--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -37,6 +37,8 @@
 	{"no result", wiretest.Lines(true, `{"id":"r","state":"done"}`), false, balance.Broken, false},
 	{"no answer", "", true, balance.Broken, false},
 	{"not HTTP", "nonsense\r\n\r\n", false, balance.Broken, false},
+	{"endless head", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Y: z\r\n", 8000), false, balance.Broken, false},
+	{"endless line", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1<<20), false, balance.Broken, false},
 	{"500", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", false, balance.Errored, true},
 	{"503 unstarted", "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 2\r\n\r\nno", false, balance.Full, true},
 	{"504 unstarted", "HTTP/1.1 504 No\r\nNot-Started: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true, balance.Full, false},
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	maxLine  = 512 << 10              // of a target's answer: a result of 64 KiB, escaped
-	tailTime = 250 * time.Millisecond // for what follows the last line, before the connection is closed
-	late     = time.Second            // past its deadline, after which a hop ends by itself
+	maxHead   = 32 << 10
+	maxAnswer = 4 << 20
+	maxLine   = 512 << 10              // of a target's answer: a result of 64 KiB, escaped
+	tailTime  = 250 * time.Millisecond // for what follows the last line, before the connection is closed
+	late      = time.Second            // past its deadline, after which a hop ends by itself
 )
 
 // Order is what a hop carries to its egress target.
@@ -161,11 +163,10 @@
 		return News{Outcome: balance.Unreachable, Why: fmt.Sprintf("wrote %d of %d bytes: %v", n, len(msg), err)}, false
 	}
 	c.SetReadDeadline(o.Deadline.Add(late))
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: o.Method})
+	resp, err := c.response(o.Method)
 	if err != nil {
 		return broken(err), false
 	}
-	c.body(resp)
 	if resp.StatusCode != http.StatusOK {
 		end := News{Outcome: balance.Errored, Report: report([]byte(resp.Header.Get("Server-Load")), o.Fields), Why: resp.Status}
 		turned := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -35,6 +35,7 @@
 type conn struct {
 	net.Conn
 	addr  string
+	limit io.LimitedReader // what may still come in this answer
 	r     *bufio.Reader
 	since time.Time // when it became idle
 	rest  io.Reader // of the answer being read
@@ -63,7 +64,9 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, 2048)}, nil
+	c := &conn{Conn: nc, addr: addr, limit: io.LimitedReader{R: nc}}
+	c.r = bufio.NewReaderSize(&c.limit, 2048)
+	return c, nil
 }
 
 // reserve takes the youngest usable idle connection to the address. Where
@@ -158,8 +161,16 @@
 	return err == nil && quiet && c.r.Buffered() == 0
 }
 
-// body notes the answer that is being read, so that finish can read its rest.
-func (c *conn) body(resp *http.Response) { c.rest = resp.Body }
+// response reads the head of an answer and notes its body, so that finish can
+// read the rest. An answer without end must not fill the memory.
+func (c *conn) response(method string) (*http.Response, error) {
+	c.limit.N = maxHead
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	if err == nil {
+		c.limit.N, c.rest = maxAnswer, resp.Body
+	}
+	return resp, err
+}
 
 // finish reads what is left of the answer. Only then may the connection
 // carry another request.
--- a/internal/egress/probe.go
+++ b/internal/egress/probe.go
@@ -34,7 +34,7 @@
 		p.close(c)
 		return News{Outcome: balance.Unreachable, Why: err.Error()}
 	}
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodGet})
+	resp, err := c.response(http.MethodGet)
 	if err != nil {
 		p.close(c)
 		if time.Since(start) >= probeTime {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -40,10 +40,10 @@
 
 // The states of a client connection in the model.
 const (
-	closed  = iota
-	idle    // between requests
-	partial // half a request was sent
-	held    // the desk has the request
+	atIdle    = iota // between requests
+	atPartial        // half a request was sent
+	atHeld           // the desk has the request
+	atEnd            // no connection
 )
 
 // FuzzConnection plays random steps of a client, the desk and the phase
@@ -55,7 +55,7 @@
 	f.Add([]byte{1, 7, 2, 3, 7, 0, 7, 3})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, d, l := start(t, 8)
-		state, n := closed, 0
+		state, n := atEnd, 0
 		var c *wiretest.Client
 		var r *Request
 		answer := func() {
@@ -64,53 +64,53 @@
 			if got, body := c.Status(t); got != 200+n%2*303 || body != "result" {
 				t.Fatalf("request %d: got %d %q", n, got, body)
 			}
-			if state = idle; ending {
+			if state = atIdle; ending {
 				c.Ended(t)
 				c.Close()
-				state = closed
+				state = atEnd
 			}
 		}
 		take := func() {
-			r, state = wiretest.Get(t, d.arrivals, "an arrival"), held
+			r, state = wiretest.Get(t, d.arrivals, "an arrival"), atHeld
 			if r.ID != fmt.Sprint(n) || string(r.Body) != "body" || r.Slots != 2 || r.URI != "/safe/a?b=1" {
 				t.Fatalf("request %d arrived as %+v", n, r)
 			}
 		}
 		wiretest.Steps(data, 40, func(b byte) {
-			if state == closed {
-				c, state = l.Dial(), idle
+			if state == atEnd {
+				c, state = l.Dial(), atIdle
 			}
 			step := int(b) % 9
 			half := len(job(fmt.Sprint(n))) / 2
 			switch {
-			case step == 0 && state == idle:
+			case step == 0 && state == atIdle:
 				n++
 				io.WriteString(c, job(fmt.Sprint(n)))
 				take()
-			case step == 1 && state == idle:
+			case step == 1 && state == atIdle:
 				n++
 				io.WriteString(c, job(fmt.Sprint(n))[:half])
-				state = partial
-			case step == 2 && state == partial:
+				state = atPartial
+			case step == 2 && state == atPartial:
 				io.WriteString(c, job(fmt.Sprint(n))[half:])
 				take()
-			case step == 3 && state == held:
+			case step == 3 && state == atHeld:
 				answer()
 			case step == 4:
 				c.Close()
-				if state == held && wiretest.Get(t, d.leaves, "a client's leaving") != r {
+				if state == atHeld && wiretest.Get(t, d.leaves, "a client's leaving") != r {
 					t.Fatal("another request's client left")
 				}
-				state = closed
-			case step == 5 && state == idle:
+				state = atEnd
+			case step == 5 && state == atIdle:
 				go io.WriteString(c, "nonsense\r\n\r\n")
 				if got, _ := c.Status(t); got != 400 {
 					t.Fatalf("nonsense got %d", got)
 				}
 				c.Ended(t)
 				c.Close()
-				state = closed
-			case step == 6 && state == idle:
+				state = atEnd
+			case step == 6 && state == atIdle:
 				io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
 				if got, _ := c.Status(t); (got == 200) == d.Ending() {
 					t.Fatalf("health check got %d", got)
@@ -118,9 +118,9 @@
 				if d.Ending() {
 					c.Ended(t)
 					c.Close()
-					state = closed
+					state = atEnd
 				}
-			case step == 7 && state == idle:
+			case step == 7 && state == atIdle:
 				ended := make(chan struct{})
 				go func() { defer close(ended); c.R.ReadByte() }()
 				wiretest.Until(t, "an idle connection to close", func() bool {
@@ -133,18 +133,18 @@
 					}
 				})
 				c.Close()
-				state = closed
+				state = atEnd
 			case step == 7:
 				s.CloseIdle(0) // must not touch what is held; half a request may go either way
-				if state == partial {
+				if state == atPartial {
 					c.Close()
-					state = closed
+					state = atEnd
 				}
 			case step == 8:
 				d.ending.Store(true)
 			}
 		})
-		if state == held {
+		if state == atHeld {
 			answer()
 		}
 		if c != nil {
@@ -213,6 +213,28 @@
 	}
 }
 
+// Clients that open connections and send nothing, or very slowly, must not
+// keep the others out.
+func TestSlowClientsMakeRoom(t *testing.T) {
+	s, d, l := start(t, 2)
+	s.fresh = 0
+	silent, slow := l.Dial(), l.Dial()
+	io.WriteString(slow, "POST /safe HTTP/1.1\r\nHost:")
+	wiretest.Until(t, "both to be known", func() bool { return s.Open() == 2 })
+	for n, old := range []*wiretest.Client{silent, slow} {
+		c := l.Dial()
+		defer c.Close()
+		io.WriteString(c, job(fmt.Sprint(n)))
+		r := wiretest.Get(t, d.arrivals, "an arrival")
+		defer r.Answer(Answer{Status: 200})
+		if old == slow {
+			go io.Copy(io.Discard, old.R) // it gets a 408 first
+			continue
+		}
+		old.Ended(t)
+	}
+}
+
 // A listener that runs out of descriptors must not end the program.
 func TestAcceptErrorIsNoEnd(t *testing.T) {
 	d := &desk{arrivals: make(chan *Request, 1)}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -15,10 +15,9 @@
 // Limits of one connection.
 const (
 	maxHead  = 32 << 10
-	slowest  = 10 * time.Second // from a request's first byte to its last
-	idleTime = 2 * time.Minute  // between requests
-	sendTime = 5 * time.Second  // to write an answer
-	spare    = 32               // connections beyond the most that are turned away in good form
+	slowest  = 5 * time.Second // from a request's first byte to its last
+	idleTime = 2 * time.Minute // between requests
+	sendTime = 5 * time.Second // to write an answer
 )
 
 // Desk takes what the clients' side has to tell. Its calls return soon.
@@ -40,6 +39,7 @@
 	phase   Phase
 	most    int // connections at one time
 	slowest time.Duration
+	fresh   time.Duration // how long a connection has to bring a request before it may make room
 	log     func(format string, args ...any)
 
 	mu    sync.Mutex
@@ -49,10 +49,10 @@
 }
 
 // NewServer makes a server for the given classes, by name, that holds most
-// connections at one time.
+// connections at one time, and a sixteenth more that are turned away in good form.
 func NewServer(classes map[string]Class, desk Desk, phase Phase, most int, log func(string, ...any)) *Server {
-	return &Server{classes: classes, desk: desk, phase: phase, most: most, slowest: slowest, log: log,
-		conns: map[*conn]bool{}, seats: make(chan struct{}, most+spare)}
+	return &Server{classes: classes, desk: desk, phase: phase, most: most, slowest: slowest, fresh: time.Second, log: log,
+		conns: map[*conn]bool{}, seats: make(chan struct{}, most+most/16+1)}
 }
 
 // conn is one client connection. Its goroutine reads and writes; while a
@@ -61,13 +61,24 @@
 	net.Conn
 	limit io.LimitedReader
 	r     *bufio.Reader
-	idle  bool // between requests; guarded by Server.mu
+	state state // guarded by Server.mu, as is since
 	since time.Time
 	shed  bool // came when all places were taken: its request is refused
 }
 
+// state is where a connection stands with its client.
+type state int
+
+const (
+	idle    state = iota // between requests
+	reading              // some of a request has come
+	held                 // a whole one has: an answer is owed
+	evicted              // told to end, to make room
+)
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	var said time.Time
 	for {
 		s.seats <- struct{}{} // when even the spare ones are taken, clients wait in the backlog
 		nc, err := l.Accept()
@@ -78,12 +89,15 @@
 			}
 			// Running out of descriptors is no crash: what is open goes on, and
 			// the oldest idle connection makes room.
-			s.log("accept: %v", err)
+			if time.Since(said) > time.Second {
+				s.log("accept: %v", err)
+				said = time.Now()
+			}
 			s.evict()
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &conn{Conn: nc, idle: true, since: time.Now()}
+		c := &conn{Conn: nc, since: time.Now()}
 		c.limit.R = nc
 		c.r = bufio.NewReaderSize(&c.limit, 4096)
 		s.mu.Lock()
@@ -112,20 +126,22 @@
 // Taken is how many requests were read and have no answer on the wire yet.
 func (s *Server) Taken() int { return int(s.taken.Load()) }
 
-// evict closes the connection that has been idle for longest.
+// evict ends the connection that has owed us a whole request for longest, be
+// it idle or sending slowly: many that do so must not keep the others out. A
+// request counts as taken only with its last byte.
 func (s *Server) evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var oldest *conn
 	for c := range s.conns {
-		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
+		if c.state <= reading && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
-	if oldest == nil || time.Since(oldest.since) < time.Second {
+	if oldest == nil || time.Since(oldest.since) < s.fresh {
 		return false // a fresh connection is about to bring a request
 	}
-	oldest.idle = false
+	oldest.state = evicted
 	oldest.SetReadDeadline(time.Now())
 	return true
 }
@@ -136,20 +152,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle && time.Since(c.since) >= fresh {
+		if c.state == idle && time.Since(c.since) >= fresh {
 			c.SetReadDeadline(time.Now())
 		}
 	}
 }
 
-func (s *Server) setIdle(c *conn, idle bool) {
+// enter moves a connection to its next state, with the time that it may last.
+func (s *Server) enter(c *conn, next state) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.idle = idle; idle {
-		c.since = time.Now()
+	c.state, c.since = next, time.Now()
+	switch next {
+	case idle:
 		c.SetReadDeadline(c.since.Add(idleTime))
-	} else {
-		c.SetReadDeadline(time.Now().Add(s.slowest))
+	case reading:
+		c.SetReadDeadline(c.since.Add(s.slowest))
+	case held: // the watcher waits for as long as the answer takes
+		c.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -158,12 +178,12 @@
 	next := make(chan error, 1)
 	for {
 		c.limit.N = maxHead
-		s.setIdle(c, true)
+		s.enter(c, idle)
 		if _, err := c.r.Peek(1); err != nil {
 			return
 		}
 		for {
-			s.setIdle(c, false)
+			s.enter(c, reading)
 			again, err := s.one(c, next)
 			if err != nil || !again {
 				s.linger(c, err)
@@ -171,7 +191,7 @@
 			}
 			// The watcher of this request is still out. It returns with the
 			// next request's first byte, or with the connection's end.
-			s.setIdle(c, true)
+			s.enter(c, idle)
 			if err := <-next; err != nil {
 				return
 			}
@@ -220,7 +240,7 @@
 	s.taken.Add(1)
 	defer s.taken.Add(-1)
 	c.limit.N = maxHead
-	c.SetReadDeadline(time.Time{})
+	s.enter(c, held)
 	go c.watch(next)
 	s.desk.Arrive(q)
 	var a Answer
--- a/internal/route/watch.go
+++ b/internal/route/watch.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -17,6 +18,7 @@
 // come before the decisions would ask once more.
 const (
 	firstAnswer = 4500 * time.Millisecond
+	maxHead     = 32 << 10
 	maxLine     = 4 << 20
 )
 
@@ -38,10 +40,12 @@
 		return err
 	}
 	req, _ := http.NewRequest(http.MethodGet, "http://discovery/", nil)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	head := &io.LimitedReader{R: conn, N: maxHead} // a head without end must not fill the memory
+	resp, err := http.ReadResponse(bufio.NewReader(head), req)
 	if err != nil {
 		return err
 	}
+	head.N = math.MaxInt64
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
