Let the module answer what is left when the program closes

Seen on reading: dispatcher.giveUp chose between refused and failed by itself at the end of a drain, a decision outside the module, and more timid than its rule (a safe job that may have run was failed). An answered request leaves no hop out (dispatcher.close): its deadline is off the wheel, so nothing but the hop's own limit would have ended it. Hops that end badly are logged with worker and reason; Retry-After is rounded up.

--- a/balance/api.go
+++ b/balance/api.go
@@ -153,6 +153,10 @@
 // TimerFired is a SetTimer come due.
 type TimerFired struct{}
 
+// Closing says that this dispatcher ends now: every job that is owed an answer
+// gets its final one, though attempts may be out.
+type Closing struct{}
+
 // WorkerState is what the roster says of a worker.
 type WorkerState string
 
@@ -194,6 +198,7 @@
 func (AttemptStarted) event() {}
 func (ProbeDone) event()      {}
 func (TimerFired) event()     {}
+func (Closing) event()        {}
 func (RosterUpdate) event()   {}
 
 // Action is something the caller has to carry out.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -103,6 +104,12 @@
 			b.probed(e)
 		case RosterUpdate:
 			b.news(e)
+		case Closing:
+			for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
+				if j := b.jobs[id]; !j.closed {
+					b.answer(j)
+				}
+			}
 		}
 	}
 	b.nudge()
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -386,3 +386,34 @@
 		t.Errorf("global tag moved to %v, want 3 units by weight 3 on from 100", a.global)
 	}
 }
+
+// A dispatcher that ends leaves no job without its answer, and refuses only
+// what may be tried again without harm.
+func TestClosingAnswersAll(t *testing.T) {
+	b, err := New(Config{MaxAttempts: 2, Probes: true, ReportFields: []string{FieldFreeSlots}, Classes: []Class{
+		{Name: "safe", Aim: 1, Deadline: 30, Repeat: Safe}, {Name: "unsafe", Aim: 1, Deadline: 30, Repeat: Unsafe}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(1, []Event{RosterUpdate{Kind: RosterSaved, Workers: []WorkerInfo{{ID: "w", State: Running}}},
+		JobArrived{ID: "s", Class: "safe", Left: 30}, JobArrived{ID: "u", Class: "unsafe", Left: 30}})
+	sent := 0
+	for _, a := range b.Step(1.1, []Event{ProbeDone{Worker: "w", Outcome: Served, Report: []float64{2}}}) {
+		if _, ok := a.(Send); ok {
+			sent++
+		}
+	}
+	b.Step(1.2, []Event{JobArrived{ID: "v", Class: "unsafe", Left: 30}})
+	got := map[string]string{}
+	for _, a := range b.Step(1.3, []Event{Closing{}}) {
+		switch a := a.(type) {
+		case Refuse:
+			got[a.ID] += "refused"
+		case Fail:
+			got[a.ID] += "failed"
+		}
+	}
+	if sent != 2 || len(got) != 3 || got["s"] != "refused" || got["u"] != "failed" || got["v"] != "refused" {
+		t.Errorf("%d sent, answers %v", sent, got)
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -107,6 +107,7 @@
 	hopNews struct {
 		h    *held
 		n    int
+		host string
 		news egress.News
 	}
 	probeNews struct {
@@ -296,9 +297,6 @@
 		if h := d.held[p.req.ID]; h != nil && h.req == p.req && !h.answered {
 			d.events = append(d.events, balance.JobGone{ID: p.req.ID})
 			d.close(h)
-			for n := range h.hops {
-				d.end(h, n, balance.Cancelled, nil)
-			}
 		}
 	case hopNews:
 		d.hop(p)
@@ -343,8 +341,11 @@
 		d.events = append(d.events, balance.AttemptStarted{ID: p.h.req.ID, Attempt: p.n})
 		return
 	}
+	p.h.hops[p.n] = nil
 	if p.news.Outcome == balance.Served {
 		d.answer(p.h, ingress.Answer{Status: http.StatusOK, Body: p.news.Result})
+	} else if p.news.Outcome != balance.Full {
+		d.Log("request %s: hop %d to %s: %s (%s)", p.h.req.ID, p.n, p.host, p.news.Outcome, p.news.Why)
 	}
 	d.outcome(p.h, p.n, p.news.Outcome, p.news.Report)
 }
@@ -371,10 +372,14 @@
 	}
 }
 
-// close ends what is owed to a request.
+// close ends what is owed to a request. No hop of it may stay out: nobody
+// waits for it, and its deadline is off the wheel.
 func (d *Dispatcher) close(h *held) {
 	h.answered = true
 	h.timer.Stop()
+	for n := range h.hops {
+		d.end(h, n, balance.Cancelled, nil)
+	}
 	d.release(h)
 }
 
@@ -453,7 +458,7 @@
 	}
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
 		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields()}
-	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, news}) }))
+	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
 }
 
 // subscribe starts a watch, in place of one that may still be open.
@@ -511,7 +516,7 @@
 	}
 	if now-d.ended > d.most && p.Enter(Closing) {
 		d.Log("closing: %d requests get no answer from a target", owed)
-		d.giveUp()
+		d.events = append(d.events, balance.Closing{})
 	}
 	if now-d.ended > d.most+flush {
 		p.Enter(Stopped)
@@ -519,21 +524,3 @@
 	}
 	return false
 }
-
-// giveUp answers all that is held, as the program is about to be killed. What
-// may have run is failed; what certainly has not is refused.
-func (d *Dispatcher) giveUp() {
-	for _, h := range d.held {
-		if h.answered {
-			continue
-		}
-		a := ingress.Answer{Status: http.StatusBadGateway}
-		if len(h.hops) == 0 {
-			a = ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter}
-		}
-		d.answer(h, a)
-		for n := range h.hops {
-			d.end(h, n, balance.Cancelled, nil)
-		}
-	}
-}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -135,7 +135,7 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
 	if a.RetryAfter > 0 {
-		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(a.RetryAfter, 'f', 3, 64))
+		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(math.Ceil(a.RetryAfter*1000)/1000, 'f', -1, 64))
 	}
 	if last {
 		b.WriteString("Connection: close\r\n")
