Fit the tick to the answer grace and the dial to the drain grace

Seen on reading: settings.Rules.GraceToAnswer and DrainGrace were decoded and used by nothing, and the figures they guard were constants that fit this deployment alone. A dial may no longer outlast the drain grace, and the wheel's tick is a quarter of the answer grace, 1 to 4 ms. Here: 4 ms and 0.25 s as before.

--- a/cmd/bellstream/main.go
+++ b/cmd/bellstream/main.go
@@ -41,7 +41,9 @@
 	logs := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
 	in, out := places(conf.Sockets)
 	s := conf.Settings
-	pool := &egress.Pool{Max: out, Dial: seconds(s.Caps.DialTimeout, 0.25), Keep: seconds(s.Caps.Keepalive, 15) * 2 / 3, Now: time.Now}
+	// A dial that outlasts the drain grace would send to a target that drains.
+	dial := min(seconds(s.Caps.DialTimeout, 0.25), seconds(s.Rules.DrainGrace, 60))
+	pool := &egress.Pool{Max: out, Dial: dial, Keep: seconds(s.Caps.Keepalive, 15) * 2 / 3, Now: time.Now}
 	phases := &dispatcher.Phases{}
 	d, err := dispatcher.New(dispatcher.Options{Settings: s, Seed: conf.Seed, Known: conf.Known, Egress: pool,
 		Phases: phases, Log: logs.Printf, Now: time.Now,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -22,7 +22,7 @@
 
 // Figures of the host, none of them a decision about jobs. Times are in seconds.
 const (
-	tick      = 0.004 // of the wheel; an answer's grace is 16 ms and more
+	tick      = 0.004 // of the wheel at most
 	queue     = 1024  // posts waiting for the loop
 	sweep     = 0.5   // between looks at idle connections
 	askAgain  = 1.0   // after a watch ended that the module did not ask for
@@ -139,7 +139,7 @@
 	d := &Dispatcher{Options: o, bal: b, base: o.Now(), round: o.Settings.Round,
 		posts: make(chan any, queue), done: make(chan struct{}),
 		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {}}
-	d.wheel = wheel.New[any](tick, d.clock())
+	d.wheel = wheel.New[any](fineTick(o.Settings.Rules.GraceToAnswer), d.clock())
 	for _, l := range o.Settings.Lanes {
 		d.most = max(d.most, l.HardLimit)
 	}
@@ -157,6 +157,14 @@
 	return d, nil
 }
 
+// fineTick is a tick that leaves most of the answer's grace for the answer.
+func fineTick(grace float64) float64 {
+	if grace <= 0 {
+		return tick
+	}
+	return max(0.001, min(tick, grace/4))
+}
+
 // clock is Unix time in seconds, so that born_ms means the same; it follows
 // the monotonic clock from the start of the program on.
 func (d *Dispatcher) clock() float64 { return d.at(d.Now()) }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -274,3 +274,11 @@
 		t.Errorf("got %v from a replaced watch", r.events)
 	}
 }
+
+func TestTickFitsTheGrace(t *testing.T) {
+	for grace, want := range map[float64]float64{0: 0.004, 1: 0.004, 0.016: 0.004, 0.008: 0.002, 0.0001: 0.001} {
+		if got := fineTick(grace); got != want {
+			t.Errorf("grace %v: tick %v, want %v", grace, got, want)
+		}
+	}
+}
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -1,6 +1,7 @@
 package egress
 
 import (
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -216,6 +217,21 @@
 	}
 }
 
+// A connection that breaks before the request's last byte is written proves
+// that the job never ran: even an unsafe one may go out again.
+func TestHalfWrittenRequestNeverRan(t *testing.T) {
+	here, there := net.Pipe()
+	go func() {
+		io.ReadFull(there, make([]byte, 40))
+		there.Close()
+	}()
+	c := &conn{Conn: here, addr: "x", limit: io.LimitedReader{R: here}}
+	end, clean := order().play(c, time.Now().Add(time.Minute), func(News) {})
+	if end.Outcome != balance.Unreachable || clean {
+		t.Errorf("got %+v, clean %v", end, clean)
+	}
+}
+
 // What never got a connection has not run. Having no descriptor is not the
 // target's fault: it must not count as lost.
 func TestUnsent(t *testing.T) {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -264,3 +264,24 @@
 	}
 	return f.Listener.Accept()
 }
+
+func TestAnswerOnTheWire(t *testing.T) {
+	for _, c := range []struct {
+		a          Answer
+		last, head bool
+		want       string
+	}{
+		{Answer{Status: 200, Body: []byte("ok")}, false, false, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+		{Answer{Status: 200, Body: []byte("ok")}, false, true, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"},
+		// Rounded up: a client that comes back too early is refused once more.
+		{Answer{Status: 503, RetryAfter: 0.00001}, true, false,
+			"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.001\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
+		{Answer{Status: 405, Allow: "POST"}, false, false,
+			"HTTP/1.1 405 Method Not Allowed\r\nAllow: POST\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		var b strings.Builder
+		if err := write(&b, c.a, c.last, c.head); err != nil || b.String() != c.want {
+			t.Errorf("got %q (%v), want %q", b.String(), err, c.want)
+		}
+	}
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -38,6 +38,7 @@
 	Status     int
 	Body       []byte
 	RetryAfter float64 // seconds; 0 means no advice
+	Allow      string  // the methods, with status 405
 }
 
 // Class is what ingress must know of a class of requests.
@@ -50,12 +51,13 @@
 type reject struct {
 	status int
 	why    string
+	allow  string
 }
 
 func (r *reject) Error() string { return r.why }
 
 func bad(format string, args ...any) *reject {
-	return &reject{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+	return &reject{status: http.StatusBadRequest, why: fmt.Sprintf(format, args...)}
 }
 
 // check tells whether the request line is one for a job. A nil error and no
@@ -63,16 +65,16 @@
 func (s *Server) check(r *http.Request) (class string, err error) {
 	if r.URL.Path == "/healthz" {
 		if r.Method != http.MethodGet && r.Method != http.MethodHead {
-			return "", &reject{http.StatusMethodNotAllowed, "only GET and HEAD here"}
+			return "", &reject{http.StatusMethodNotAllowed, "only GET and HEAD here", "GET, HEAD"}
 		}
 		return "", nil
 	}
 	class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if _, ok := s.classes[class]; !ok {
-		return "", &reject{http.StatusNotFound, "no such path"}
+		return "", &reject{status: http.StatusNotFound, why: "no such path"}
 	}
 	if r.Method != http.MethodPost {
-		return "", &reject{http.StatusMethodNotAllowed, "only POST here"}
+		return "", &reject{http.StatusMethodNotAllowed, "only POST here", "POST"}
 	}
 	return class, nil
 }
@@ -117,14 +119,14 @@
 		*to = v
 	}
 	if r.ContentLength > maxBody {
-		return nil, &reject{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
+		return nil, &reject{status: http.StatusRequestEntityTooLarge, why: "body over 64 KiB"}
 	}
 	var err error
 	if q.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBody+1)); err != nil {
 		return nil, err
 	}
 	if len(q.Body) > maxBody {
-		return nil, &reject{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
+		return nil, &reject{status: http.StatusRequestEntityTooLarge, why: "body over 64 KiB"}
 	}
 	q.Arrived = time.Now()
 	return q, nil
@@ -137,6 +139,9 @@
 	if a.RetryAfter > 0 {
 		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(math.Ceil(a.RetryAfter*1000)/1000, 'f', -1, 64))
 	}
+	if a.Allow != "" {
+		fmt.Fprintf(&b, "Allow: %s\r\n", a.Allow)
+	}
 	if last {
 		b.WriteString("Connection: close\r\n")
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -279,15 +279,15 @@
 	switch {
 	case errors.As(err, &r):
 	case errors.As(err, &ne) && ne.Timeout():
-		r = &reject{http.StatusRequestTimeout, "the request took too long to arrive"}
+		r = &reject{status: http.StatusRequestTimeout, why: "the request took too long to arrive"}
 	case c.limit.N <= 0:
-		r = &reject{http.StatusRequestHeaderFieldsTooLarge, "the request's head is too long"}
+		r = &reject{status: http.StatusRequestHeaderFieldsTooLarge, why: "the request's head is too long"}
 	case errors.Is(err, io.EOF), errors.As(err, &ne):
 		return err // nobody is there to be told
 	default:
 		r = bad("malformed request")
 	}
-	if err := s.send(c, Answer{Status: r.status, Body: []byte(r.why + "\n")}, true, false); err != nil {
+	if err := s.send(c, Answer{Status: r.status, Body: []byte(r.why + "\n"), Allow: r.allow}, true, false); err != nil {
 		return err
 	}
 	return nil
