--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -14,10 +14,13 @@
 	stopped bool
 }
 
-// Stop keeps a timer from firing. A nil or fired timer may be stopped too.
+// Stop keeps a timer from firing. Its place on the wheel stays taken until it
+// would have come due, so the value is let go of at once: for a deadline that
+// is a whole request with its body. A nil or fired timer may be stopped too.
 func (t *Timer[T]) Stop() {
 	if t != nil {
-		t.stopped = true
+		var none T
+		t.value, t.stopped = none, true
 	}
 }
 
--- a/internal/wheel/wheel_test.go
+++ b/internal/wheel/wheel_test.go
@@ -26,7 +26,9 @@
 			t.Errorf("at %v: next look at %v", c.now, next)
 		}
 	}
-	far.Stop()
+	if far.Stop(); far.value != "" {
+		t.Errorf("a stopped timer holds on to %q", far.value)
+	}
 	if got := w.Advance(110); got != nil {
 		t.Errorf("got %v after Stop", got)
 	}
