Check each request's head line by line before ReadRequest may mend it

Cause: server.go's one() gave the head straight to http.ReadRequest. A probe of it with 19 heads showed what it takes in silence: Content-Length beside Transfer-Encoding (the length is dropped), a repeated length, a blank before the colon (both the length and the coding are then not seen), a folded line, a coding in HTTP/1.0, bare line feeds, no Host. Refused by it already: signed, listed, empty and over-long lengths, unknown codings, NUL bytes. Change: the head is looked at in the connection's buffer (head.go), 8 KiB at most, and what is unclear gets 400 and the connection's end. With it, a health check with a body is refused (its rest was read as a request past 64 KiB), no 100 Continue goes out for a body that is too long, and 5 s for a request became 2 s, counted from the connection's start for its first. Found by the tests: enter() undid the end that evict() had just set.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -179,14 +179,33 @@
 		{"endless head", "POST /safe HTTP/1.1\r\n" + strings.Repeat("X-Y: z\r\n", 8000), 431},
 		{"slow head", "POST /safe HTTP/1.1\r\nHost:", 408},
 		{"slow body", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\nb", 408},
+		{"length and coding", "POST /safe HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + job("hidden"), 400},
+		{"length twice", "POST /safe HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n", 400},
+		{"signed length", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: +0\r\n\r\n", 400},
+		{"negative length", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: -4\r\n\r\n", 400},
+		{"blank before colon", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length : 300\r\n\r\n" + job("hidden"), 400},
+		{"folded line", "POST /safe HTTP/1.1\r\n" + head + "X: y\r\n Transfer-Encoding: chunked\r\n\r\n", 400},
+		{"no CR", "POST /safe HTTP/1.1\nHost: x\n", 400},
+		{"coding in 1.0", "POST /safe HTTP/1.0\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 501},
+		{"unknown coding", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 501},
+		{"id twice", "POST /safe HTTP/1.1\r\n" + head + "Request-Id: b\r\n\r\n", 400},
+		{"no host", "POST /safe HTTP/1.1\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n", 400},
+		{"no HTTP", "SSH-2.0-x\r\n", 400},
+		{"other version", "POST /safe HTTP/2.0\r\n" + head + "\r\n", 400},
+		{"bytes without a line end", "\x16\x03\x01\x02", 400},
+		{"body of a health check", "GET /healthz HTTP/1.1\r\nHost: x\r\nContent-Length: 300\r\n\r\n" + job("hidden"), 400},
+		{"says nothing", "", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			client := l.Dial()
 			defer client.Close()
 			go io.WriteString(client, c.raw)
-			if got, _ := client.Status(t); got != c.want {
-				t.Errorf("got %d, want %d", got, c.want)
+			if c.want > 0 {
+				if got, _ := client.Status(t); got != c.want {
+					t.Errorf("got %d, want %d", got, c.want)
+				}
 			}
+			client.Ended(t) // what follows is not read as another request
 		})
 	}
 	if len(d.arrivals) > 0 {
@@ -213,6 +232,18 @@
 	}
 }
 
+// count is how many connections are in a state.
+func (s *Server) count(in state) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state == in {
+			n++
+		}
+	}
+	return n
+}
+
 // Clients that open connections and send nothing, or very slowly, must not
 // keep the others out.
 func TestSlowClientsMakeRoom(t *testing.T) {
@@ -220,7 +251,7 @@
 	s.fresh, s.slowest = 0, time.Hour
 	silent, slow := l.Dial(), l.Dial()
 	io.WriteString(slow, "POST /safe HTTP/1.1\r\nHost:")
-	wiretest.Until(t, "both to be known", func() bool { return s.Open() == 2 })
+	wiretest.Until(t, "both to be known, one as slow", func() bool { return s.Open() == 2 && s.count(reading) == 1 })
 	for n, old := range []*wiretest.Client{silent, slow} {
 		c := l.Dial()
 		defer c.Close()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -67,6 +67,9 @@
 		if r.Method != http.MethodGet && r.Method != http.MethodHead {
 			return "", &reject{http.StatusMethodNotAllowed, "only GET and HEAD here", "GET, HEAD"}
 		}
+		if r.ContentLength != 0 {
+			return "", bad("no body here")
+		}
 		return "", nil
 	}
 	class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -14,8 +14,7 @@
 
 // Limits of one connection.
 const (
-	maxHead  = 32 << 10
-	slowest  = 5 * time.Second // from a request's first byte to its last
+	slowest  = 2 * time.Second // from a connection's start, or a later request's first byte, to a request's last byte
 	idleTime = 2 * time.Minute // between requests
 	sendTime = 5 * time.Second // to write an answer
 )
@@ -59,9 +58,9 @@
 // request is held a second one waits for the next byte or the client's end.
 type conn struct {
 	net.Conn
-	limit io.LimitedReader
 	r     *bufio.Reader
-	state state // guarded by Server.mu, as is since
+	first time.Time // by when the first request must have come
+	state state     // guarded by Server.mu, as is since
 	since time.Time
 	shed  bool // came when all places were taken: its request is refused
 }
@@ -97,9 +96,8 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &conn{Conn: nc, since: time.Now()}
-		c.limit.R = nc
-		c.r = bufio.NewReaderSize(&c.limit, 4096)
+		c := &conn{Conn: nc, since: time.Now(), r: bufio.NewReaderSize(nc, maxHead)}
+		c.first = c.since.Add(s.slowest)
 		c.shed = s.Open() >= s.most && !s.evict() // before it is in: it must not make room for itself
 		s.mu.Lock()
 		s.conns[c] = true
@@ -161,13 +159,25 @@
 func (s *Server) enter(c *conn, next state) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.state == evicted && next != held {
+		return // its end stands, whatever came meanwhile short of a whole request
+	}
 	c.state, c.since = next, time.Now()
 	switch next {
 	case idle:
-		c.SetReadDeadline(c.since.Add(idleTime))
+		if !c.first.IsZero() {
+			c.SetReadDeadline(c.first)
+		} else {
+			c.SetReadDeadline(c.since.Add(idleTime))
+		}
 	case reading:
-		c.SetReadDeadline(c.since.Add(s.slowest))
+		if !c.first.IsZero() {
+			c.SetReadDeadline(c.first)
+		} else {
+			c.SetReadDeadline(c.since.Add(s.slowest))
+		}
 	case held: // the watcher waits for as long as the answer takes
+		c.first = time.Time{}
 		c.SetReadDeadline(time.Time{})
 	}
 }
@@ -176,7 +186,6 @@
 func (s *Server) serve(c *conn) {
 	next := make(chan error, 1)
 	for {
-		c.limit.N = maxHead
 		s.enter(c, idle)
 		if _, err := c.r.Peek(1); err != nil {
 			return
@@ -200,6 +209,9 @@
 
 // one reads a request and sees it answered.
 func (s *Server) one(c *conn, next chan error) (again bool, err error) {
+	if err := c.head(); err != nil {
+		return false, s.complain(c, err)
+	}
 	r, err := http.ReadRequest(c.r)
 	if err != nil {
 		return false, s.complain(c, err)
@@ -213,16 +225,12 @@
 		if s.phase.Ready() {
 			a = Answer{Status: http.StatusOK, Body: []byte("ok\n")}
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBody)); err != nil {
-			return false, err
-		}
-		c.limit.N = maxHead
+		c.first = time.Time{}
 		go c.watch(next)
 		last := s.phase.Ending() || r.Close
 		return !last, s.send(c, a, last, r.Method == http.MethodHead)
 	}
-	c.limit.N += 2 * maxBody // the body, with what chunks may add
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+	if r.ContentLength <= maxBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return false, err
 		}
@@ -238,7 +246,6 @@
 	q.Answer = func(a Answer) { answer <- a }
 	s.taken.Add(1)
 	defer s.taken.Add(-1)
-	c.limit.N = maxHead
 	s.enter(c, held)
 	go c.watch(next)
 	s.desk.Arrive(q)
@@ -280,8 +287,6 @@
 	case errors.As(err, &r):
 	case errors.As(err, &ne) && ne.Timeout():
 		r = &reject{status: http.StatusRequestTimeout, why: "the request took too long to arrive"}
-	case c.limit.N <= 0:
-		r = &reject{status: http.StatusRequestHeaderFieldsTooLarge, why: "the request's head is too long"}
 	case errors.Is(err, io.EOF), errors.As(err, &ne):
 		return err // nobody is there to be told
 	default:
