Reread the configuration on SIGHUP and move the watch to the new discovery

Change: SIGHUP rereads the file. A new discovery is watched at once from the version in hand on, the old watch is dropped and its late news ignored; held requests, the module's state and the route table stay. New limits count from the next connection on (the seats are a count now, not a channel of fixed size). Listen address, name and settings wait for the next start, and the log says so. A file that can't be used leaves all as it was; an address that is not host:port makes it such a file. Each signal has a channel of its own: a crowd of SIGHUPs in a shared one could displace SIGTERM. Checked: 20 SIGHUPs, then SIGTERM, then SIGHUP under a held job, by test; a redirect while draining; the old address is never asked again.

--- a/cmd/bellstream/main.go
+++ b/cmd/bellstream/main.go
@@ -3,13 +3,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"log"
 	"math"
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -31,9 +31,13 @@
 
 // run serves until SIGTERM or SIGINT, and returns when all is answered.
 func run() error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	conf, err := settings.Load(os.Getenv("RELAY_CONFIG"))
+	// Channels of their own, so that no crowd of the one signal can displace
+	// the other. They are there before all else: SIGHUP would end the program.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	path := os.Getenv("RELAY_CONFIG")
+	conf, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
@@ -46,10 +50,7 @@
 	pool := &egress.Pool{Max: out, Dial: dial, Keep: seconds(s.Caps.Keepalive, 15) * 2 / 3, Now: time.Now}
 	phases := &dispatcher.Phases{}
 	d, err := dispatcher.New(dispatcher.Options{Settings: s, Seed: conf.Seed, Known: conf.Known, Egress: pool,
-		Phases: phases, Log: logs.Printf, Now: time.Now,
-		Watch: func(ctx context.Context, seq int64, each func(*route.Update)) error {
-			return route.Watch(ctx, conf.Discovery, seq, each)
-		}})
+		Phases: phases, Log: logs.Printf, Now: time.Now, Discovery: conf.Discovery, Watch: route.Watch})
 	if err != nil {
 		return err
 	}
@@ -65,15 +66,56 @@
 	server := ingress.NewServer(classes, d, phases, in, logs.Printf)
 	go server.Serve(l)
 	go func() {
-		logs.Printf("%s: stopping", <-signals)
+		logs.Printf("%s: stopping", <-stops)
 		d.Stop()
 	}()
+	go func() {
+		for range reloads {
+			next, err := settings.Load(path)
+			if err != nil {
+				logs.Printf("reload: the old configuration stays in force: %v", err)
+				continue
+			}
+			for _, what := range changes(conf, next) {
+				logs.Printf("reload: %s", what)
+			}
+			limit(next)
+			in, out := places(next.Sockets)
+			server.Resize(in)
+			pool.Resize(out)
+			d.Redirect(next.Discovery)
+			// What waits for the next start is told again by each reload.
+			conf.Discovery, conf.Cores, conf.MemoryMB, conf.Sockets = next.Discovery, next.Cores, next.MemoryMB, next.Sockets
+		}
+	}()
 	logs.Printf("dispatcher %s listens on %s", conf.Name, l.Addr())
 	d.Run(server)
 	logs.Printf("stopped")
 	return nil
 }
 
+// changes says what a reload changes, and what it leaves for the next start.
+// Seed and known list are for a start only.
+func changes(old, next *settings.Instance) (said []string) {
+	say := func(format string, args ...any) { said = append(said, fmt.Sprintf(format, args...)) }
+	if old.Discovery != next.Discovery {
+		say("discovery is at %s now", next.Discovery)
+	}
+	if old.Cores != next.Cores || old.MemoryMB != next.MemoryMB || old.Sockets != next.Sockets {
+		say("limits are %v cores, %d MB, %d descriptors now", next.Cores, next.MemoryMB, next.Sockets)
+	}
+	if old.Listen != next.Listen || old.Name != next.Name {
+		say("name and listen address stay %s and %s until the next start", old.Name, old.Listen)
+	}
+	if !reflect.DeepEqual(old.Settings, next.Settings) {
+		say("the settings stay the old ones until the next start")
+	}
+	if said == nil {
+		say("nothing has changed")
+	}
+	return said
+}
+
 // seconds is a setting as a duration, or the given default where it is not set.
 func seconds(v, none float64) time.Duration {
 	if v <= 0 {
--- a/cmd/bellstream/main_test.go
+++ b/cmd/bellstream/main_test.go
@@ -29,9 +29,7 @@
 func program(t *testing.T, config string) (*exec.Cmd, *bufio.Reader) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	write(t, path, config)
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "BELLSTREAM_MAIN=1", "RELAY_CONFIG="+path)
 	log, err := cmd.StderrPipe()
@@ -45,6 +43,13 @@
 	return cmd, bufio.NewReader(log)
 }
 
+func write(t *testing.T, path, config string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestBadStart(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -61,36 +66,85 @@
 	}
 }
 
+// config names discovery and the one target's address.
+const config = `{"name":"n","listen":"127.0.0.1:0","discovery":%[1]q,"seed":"1f",
+ "limits":{"cores":1,"memory_mb":64,"sockets":128},
+ "known":{"seq":7,"whole":true,"hosts":[{"host":"s","dial":%[2]q,"site":"z","health":"active"},
+  {"host":"u","dial":%[2]q,"site":"z","health":"active"}]},
+ "settings":{"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
+  "lanes":[{"name":"c","aim":1,"hard_limit":60,"semantics":"unsafe"}],"caps":{"max_attempts":1}}}`
+
+const job = "POST /c HTTP/1.1\r\nHost: x\r\nRequest-Id: r\r\nRequest-Timeout: 30\r\nContent-Length: 2\r\n\r\nhi"
+
+// logged reads the log up to a line with the given words, and returns what follows them.
+func logged(t *testing.T, log *bufio.Reader, words string) string {
+	t.Helper()
+	for {
+		line, err := log.ReadString('\n')
+		if _, rest, ok := strings.Cut(strings.TrimSpace(line), words); ok {
+			return rest
+		}
+		if err != nil {
+			t.Fatalf("the log ended without %q", words)
+		}
+	}
+}
+
+// SIGHUP under a held job: a broken file changes nothing, a new discovery is
+// watched at once and the old one left, and neither many of them nor one
+// beside SIGTERM costs the job its answer.
+func TestReloads(t *testing.T) {
+	target, old, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t), wiretest.NewTarget(t)
+	cmd, log := program(t, fmt.Sprintf(config, old.Addr, target.Addr))
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "RELAY_CONFIG=")
+	wiretest.Get(t, old.Calls, "the watch")
+	client := dial(t, logged(t, log, "listens on "))
+	io.WriteString(client, job)
+	call := wiretest.Get(t, target.Calls, "the job")
+	next := fmt.Sprintf(config, discovery.Addr, target.Addr)
+	write(t, path, next[:len(next)/2])
+	cmd.Process.Signal(syscall.SIGHUP)
+	logged(t, log, "the old configuration stays in force")
+	write(t, path, strings.Replace(next, "127.0.0.1:0", "127.0.0.1:1", 1))
+	cmd.Process.Signal(syscall.SIGHUP)
+	logged(t, log, "discovery is at "+discovery.Addr)
+	logged(t, log, "listen address stay")
+	if c := wiretest.Get(t, discovery.Calls, "the new watch"); c.Req.URL.Query().Get("index") != "7" {
+		t.Errorf("watch asked for %s", c.Req.URL)
+	}
+	wiretest.Get(t, old.Ends, "the old watch's end")
+	for range 20 {
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGHUP)
+	logged(t, log, "draining")
+	call.Reply(wiretest.Lines(true, `{"id":"r","state":"done","result":"one"}`))
+	if got, body := client.Status(t); got != 200 || body != "one" {
+		t.Errorf("got %d %q", got, body)
+	}
+	client.Close()
+	io.Copy(io.Discard, log)
+	if err := cmd.Wait(); err != nil || len(old.Calls) > 0 {
+		t.Errorf("exit: %v, the old discovery was asked %d times more", err, len(old.Calls))
+	}
+}
+
 // One job from its client to a target and back, with a stop while it runs.
 func TestServesAndDrains(t *testing.T) {
 	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
-	cmd, log := program(t, fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%[1]q,"seed":"1f",
-	 "limits":{"cores":1,"memory_mb":64,"sockets":128},
-	 "known":{"seq":7,"whole":true,"hosts":[{"host":"s","dial":%[2]q,"site":"z","health":"active"},
-	  {"host":"u","dial":%[2]q,"site":"z","health":"active"}]},
-	 "settings":{"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
-	  "lanes":[{"name":"c","aim":1,"hard_limit":60,"semantics":"unsafe"}],"caps":{"max_attempts":1}}}`, discovery.Addr, target.Addr))
+	cmd, log := program(t, fmt.Sprintf(config, discovery.Addr, target.Addr))
 	wiretest.Get(t, discovery.Calls, "the watch")
-	line, _ := log.ReadString('\n')
-	_, addr, ok := strings.Cut(strings.TrimSpace(line), "listens on ")
-	if !ok {
-		t.Fatalf("log begins with %q", line)
-	}
+	addr := logged(t, log, "listens on ")
 	client := dial(t, addr)
 	io.WriteString(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
 	if got, _ := client.Status(t); got != 200 {
 		t.Fatalf("health check got %d", got)
 	}
-	const job = "POST /c HTTP/1.1\r\nHost: x\r\nRequest-Id: r\r\nRequest-Timeout: 30\r\nContent-Length: 2\r\n\r\nhi"
 	io.WriteString(client, job)
 	call := wiretest.Get(t, target.Calls, "the job")
 	cmd.Process.Signal(syscall.SIGTERM)
-	for !strings.Contains(line, "draining") {
-		var err error
-		if line, err = log.ReadString('\n'); err != nil {
-			t.Fatalf("the log ended: %v", err)
-		}
-	}
+	logged(t, log, "draining")
 	// What connects after the signal is answered too.
 	second := dial(t, addr)
 	io.WriteString(second, strings.Replace(job, "Request-Id: r", "Request-Id: q", 1))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -52,11 +52,13 @@
 	Settings *settings.Settings
 	Seed     uint64
 	Known    []byte
-	Watch    func(ctx context.Context, seq int64, each func(*route.Update)) error
-	Egress   Egress
-	Phases   *Phases
-	Log      func(format string, args ...any)
-	Now      func() time.Time // the clock, monotonic
+	// Discovery is where Watch asks; Redirect changes it.
+	Discovery string
+	Watch     func(ctx context.Context, discovery string, seq int64, each func(*route.Update)) error
+	Egress    Egress
+	Phases    *Phases
+	Log       func(format string, args ...any)
+	Now       func() time.Time // the clock, monotonic
 }
 
 // Dispatcher joins the decision module to the sockets.
@@ -120,6 +122,7 @@
 		err   error
 	}
 	stop     struct{}
+	redirect struct{ discovery string }
 	wake     struct{} // a timer of the module
 	deadline struct{ h *held }
 	sweeping struct{}
@@ -194,6 +197,10 @@
 // Stop begins draining.
 func (d *Dispatcher) Stop() { d.post(stop{}) }
 
+// Redirect has the route table watched at another address from now on. All
+// else stays: held requests, the module's state and the table itself.
+func (d *Dispatcher) Redirect(discovery string) { d.post(redirect{discovery}) }
+
 // Run plays the loop until the dispatcher has drained after Stop.
 func (d *Dispatcher) Run(in Ingress) {
 	d.ingress = in
@@ -312,6 +319,11 @@
 		d.events = append(d.events, balance.ProbeDone{Worker: p.host, Outcome: p.news.Outcome, Report: p.news.Report})
 	case routeNews:
 		d.route(p)
+	case redirect:
+		if d.Discovery != p.discovery {
+			d.Discovery = p.discovery
+			d.subscribe() // at once, and the old watch is dropped: its address is not to be used again
+		}
 	case stop:
 		if d.Phases.Enter(Draining) {
 			d.ended = d.clock()
@@ -475,9 +487,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.watch = cancel
 	d.watchNo++
-	no, seq := d.watchNo, d.table.Seq
+	no, seq, discovery := d.watchNo, d.table.Seq, d.Discovery
 	go func() {
-		err := d.Watch(ctx, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
+		err := d.Watch(ctx, discovery, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
 		d.post(routeNews{watch: no, err: err})
 	}()
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -33,7 +33,15 @@
 	jobs   []*jobModel
 	out    []*hopModel
 	probes []func(egress.News)
-	watch  int
+
+	watches chan watchModel
+}
+
+// watchModel is a watch that was asked for.
+type watchModel struct {
+	at  string
+	seq int64
+	ctx context.Context
 }
 
 // jobModel is a request as the rules see it.
@@ -99,10 +107,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, now: time.Unix(1e9, 0)}
+	r := &rig{t: t, now: time.Unix(1e9, 0), watches: make(chan watchModel, 1000)}
 	r.Dispatcher, err = New(Options{Settings: s, Seed: 1, Known: []byte(known), Egress: r, Phases: &Phases{},
 		Log: func(string, ...any) {}, Now: func() time.Time { return r.now },
-		Watch: func(ctx context.Context, _ int64, _ func(*route.Update)) error { <-ctx.Done(); return ctx.Err() }})
+		Discovery: "old", Watch: func(ctx context.Context, at string, seq int64, _ func(*route.Update)) error {
+			r.watches <- watchModel{at, seq, ctx}
+			<-ctx.Done()
+			return ctx.Err()
+		}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -207,6 +219,8 @@
 				if arg == 15 {
 					r.take(stop{})
 				}
+			case 14:
+				r.take(redirect{fmt.Sprint("address ", arg)})
 			}
 			r.pass(4 * time.Millisecond)
 			live := r.out[:0]
@@ -275,6 +289,34 @@
 	}
 }
 
+// A new address of discovery's is watched at once, from what is held on, and
+// the old one never again. What is held goes on, in every phase.
+func TestRedirect(t *testing.T) {
+	r := newRig(t)
+	old := wiretest.Get(t, r.watches, "the first watch, which the module asks for at once")
+	r.take(routeNews{watch: r.watchNo, up: &route.Update{Seq: 1}})
+	r.take(redirect{"new"})
+	w := wiretest.Get(t, r.watches, "the new watch")
+	if old.at != "old" || w.at != "new" || w.seq != 1 {
+		t.Errorf("watches %q, then %q from %d on", old.at, w.at, w.seq)
+	}
+	<-old.ctx.Done()
+	r.take(redirect{"new"})
+	r.take(routeNews{watch: r.watchNo, up: &route.Update{Seq: 1}})
+	r.take(routeNews{watch: r.watchNo, err: context.DeadlineExceeded})
+	r.pass(time.Second)
+	if w = wiretest.Get(t, r.watches, "the watch that is asked for again"); w.at != "new" || len(r.watches) > 0 {
+		t.Errorf("asked again at %q, and %d times more", w.at, len(r.watches))
+	}
+	a := r.arrive("a", "safe", 100*time.Second)
+	r.take(stop{})
+	r.take(redirect{"newer"})
+	r.pass(0)
+	if w = wiretest.Get(t, r.watches, "a watch while draining"); w.at != "newer" || len(a.answers) > 0 || r.table.Len() != 2 {
+		t.Errorf("watch at %q, answers %v, %d targets", w.at, a.answers, r.table.Len())
+	}
+}
+
 func TestTickFitsTheGrace(t *testing.T) {
 	for grace, want := range map[float64]float64{0: 0.004, 1: 0.004, 0.016: 0.004, 0.008: 0.002, 0.0001: 0.001} {
 		if got := fineTick(grace); got != want {
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -91,6 +91,13 @@
 	return nil, nil
 }
 
+// Resize changes how many connections there may be. Those that are open stay.
+func (p *Pool) Resize(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Max = most
+}
+
 // put gives back a connection on which nothing is out.
 func (p *Pool) put(c *conn) {
 	c.SetDeadline(time.Time{})
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -36,22 +36,42 @@
 	classes map[string]Class
 	desk    Desk
 	phase   Phase
-	most    int // connections at one time
 	slowest time.Duration
 	fresh   time.Duration // how long a connection has to bring a request before it may make room
 	log     func(format string, args ...any)
 
 	mu    sync.Mutex
+	room  *sync.Cond // a connection has ended, or there may be more
+	most  int        // connections at one time
 	conns map[*conn]bool
-	seats chan struct{}
 	taken atomic.Int64 // requests read and not yet answered on the wire
 }
 
 // NewServer makes a server for the given classes, by name, that holds most
 // connections at one time, and a sixteenth more that are turned away in good form.
 func NewServer(classes map[string]Class, desk Desk, phase Phase, most int, log func(string, ...any)) *Server {
-	return &Server{classes: classes, desk: desk, phase: phase, most: most, slowest: slowest, fresh: time.Second, log: log,
-		conns: map[*conn]bool{}, seats: make(chan struct{}, most+most/16+1)}
+	s := &Server{classes: classes, desk: desk, phase: phase, most: most, slowest: slowest, fresh: time.Second, log: log,
+		conns: map[*conn]bool{}}
+	s.room = sync.NewCond(&s.mu)
+	return s
+}
+
+// Resize changes how many connections there may be. Those that are open stay.
+func (s *Server) Resize(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+	s.room.Broadcast()
+}
+
+// admit waits until there is a seat for one more connection: when even the
+// spare ones are taken, clients wait in the backlog.
+func (s *Server) admit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) > s.most+s.most/16 {
+		s.room.Wait()
+	}
 }
 
 // conn is one client connection. Its goroutine reads and writes; while a
@@ -79,10 +99,9 @@
 func (s *Server) Serve(l net.Listener) error {
 	var said time.Time
 	for {
-		s.seats <- struct{}{} // when even the spare ones are taken, clients wait in the backlog
+		s.admit()
 		nc, err := l.Accept()
 		if err != nil {
-			<-s.seats
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -92,14 +111,16 @@
 				s.log("accept: %v", err)
 				said = time.Now()
 			}
+			s.mu.Lock()
 			s.evict()
+			s.mu.Unlock()
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
 		c := &conn{Conn: nc, since: time.Now(), r: bufio.NewReaderSize(nc, maxHead)}
 		c.first = c.since.Add(s.slowest)
-		c.shed = s.Open() >= s.most && !s.evict() // before it is in: it must not make room for itself
 		s.mu.Lock()
+		c.shed = len(s.conns) >= s.most && !s.evict() // before it is in: it must not make room for itself
 		s.conns[c] = true
 		s.mu.Unlock()
 		go func() {
@@ -107,8 +128,8 @@
 			nc.Close()
 			s.mu.Lock()
 			delete(s.conns, c)
+			s.room.Signal()
 			s.mu.Unlock()
-			<-s.seats
 		}()
 	}
 }
@@ -125,10 +146,8 @@
 
 // evict ends the connection that has owed us a whole request for longest, be
 // it idle or sending slowly: many that do so must not keep the others out. A
-// request counts as taken only with its last byte.
+// request counts as taken only with its last byte. It wants mu.
 func (s *Server) evict() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var oldest *conn
 	for c := range s.conns {
 		if c.state <= reading && (oldest == nil || c.since.Before(oldest.since)) {
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 
@@ -58,6 +59,8 @@
 		return nil, errors.New("listen: missing")
 	case i.Discovery == "":
 		return nil, errors.New("discovery: missing")
+	case !address(i.Listen), !address(i.Discovery):
+		return nil, errors.New("listen or discovery: not host:port")
 	case i.MemoryMB < 0 || i.Sockets < 0 || i.Cores < 0:
 		return nil, errors.New("limits: a figure is below 0")
 	}
@@ -65,3 +68,8 @@
 	i.Settings, err = Parse([]byte(r.get("settings", gjson.JSON).Raw))
 	return i, err
 }
+
+func address(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	return err == nil && port != ""
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,17 +41,18 @@
 		{`{"listen":5}`, "listen: unexpected Number"},
 		{`{"discovery":"x"}`, "listen: missing"},
 		{`{"listen":"x"}`, "discovery: missing"},
-		{`{"listen":"x","discovery":"x","seed":"no"}`, "seed:"},
-		{`{"listen":"x","discovery":"x","limits":{"sockets":-1}}`, "limits:"},
-		{`{"listen":"x","discovery":"x"}`, "settings: not"},
-		{`{"listen":"x","discovery":"x","settings":{"lanes":{}}}`, "lanes: not an array"},
-		{`{"listen":"x","discovery":"x","settings":{"lanes":[{"aim":"x"}]}}`, "lanes[0]: aim: unexpected String"},
+		{`{"listen":"x:1","discovery":"x"}`, "not host:port"},
+		{`{"listen":"x:1","discovery":"x:1","seed":"no"}`, "seed:"},
+		{`{"listen":"x:1","discovery":"x:1","limits":{"sockets":-1}}`, "limits:"},
+		{`{"listen":"x:1","discovery":"x:1"}`, "settings: not"},
+		{`{"listen":"x:1","discovery":"x:1","settings":{"lanes":{}}}`, "lanes: not an array"},
+		{`{"listen":"x:1","discovery":"x:1","settings":{"lanes":[{"aim":"x"}]}}`, "lanes[0]: aim: unexpected String"},
 	} {
 		if _, err := ParseInstance([]byte(c[0])); err == nil || !strings.Contains(err.Error(), c[1]) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: got %v, want %q", c[0], err, c[1])
 		}
 	}
-	i, err := ParseInstance([]byte(`{"name":"n","listen":"x","discovery":"y","seed":"8c1f30d27a5be964","known":{"seq":1},"settings":` + object + `}`))
+	i, err := ParseInstance([]byte(`{"name":"n","listen":"x:1","discovery":"y:1","seed":"8c1f30d27a5be964","known":{"seq":1},"settings":` + object + `}`))
 	if err != nil || i.Seed != 0x8c1f30d27a5be964 || string(i.Known) != `{"seq":1}` {
 		t.Errorf("got %+v, %v", i, err)
 	}
