Keep clients' connections for the first 2 s of a stop

One node gets SIGTERM 3 s after the other, which is back after 4.4 s; in between nobody takes new clients. Cause: from SIGTERM on each answer closed its connection (Phases.Ending) and idle ones were closed every 50 ms (looking), though clients go on using the connections they have for as long as they stay open. Checked with a log of arrivals: kept connections bring jobs up to 2.4 s after SIGTERM; new ones come for 0.4 s only, and health checks play no part. Change: a phase 'retiring' before 'draining'. The stop lasts 3.3 s where it was 3.0, as SIGKILL comes 0.7 s after the longest deadline, so jobs keep 1.3 s to end.

--- a/cmd/bellstream/main_test.go
+++ b/cmd/bellstream/main_test.go
@@ -144,6 +144,19 @@
 	io.WriteString(client, job)
 	call := wiretest.Get(t, target.Calls, "the job")
 	cmd.Process.Signal(syscall.SIGTERM)
+	logged(t, log, "retiring")
+	// A client on an open connection is served as before, but no new ones are wanted.
+	third := dial(t, addr)
+	io.WriteString(third, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	if got, _ := third.Status(t); got != 503 {
+		t.Errorf("health check got %d after the signal", got)
+	}
+	io.WriteString(third, strings.Replace(job, "Request-Id: r", "Request-Id: p", 1))
+	wiretest.Get(t, target.Calls, "the third job").Reply(wiretest.Lines(true, `{"id":"p","state":"done","result":"three"}`))
+	if resp, err := http.ReadResponse(third.R, nil); err != nil || resp.StatusCode != 200 || resp.Close {
+		t.Errorf("got %+v, %v soon after the signal", resp, err)
+	}
+	third.Close()
 	logged(t, log, "draining")
 	// What connects after the signal is answered too.
 	second := dial(t, addr)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -27,9 +27,11 @@
 	sweep     = 0.5   // between looks at idle connections
 	askAgain  = 1.0   // after a watch ended that the module did not ask for
 	drainLook = 0.05  // between looks at what is left while draining
-	drainMost = 3.0   // of draining at most: SIGKILL comes 0.7 s after that or later
-	drainIdle = 1.0   // of draining at least: connections keep coming for 0.4 s
-	flush     = 0.3   // for the last answers to be written
+	drainMost = 3.0   // the longest deadline that a stop heeds: SIGKILL comes 0.7 s after it
+	drainPast = 0.3   // of those that jobs get as well
+	drainIdle = 1.0   // from a stop to the end at least: connections keep coming for 0.4 s
+	retire    = 0.6   // part of a stop in which clients keep their connections
+	flush     = 0.15  // for the last answers to be written
 )
 
 // Egress is what the loop needs of the zone workers' side.
@@ -80,7 +82,7 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	ended   float64 // when draining began
+	ended   float64 // when the stop came
 	most    float64 // how long it may take
 }
 
@@ -146,7 +148,7 @@
 	for _, l := range o.Settings.Lanes {
 		d.most = max(d.most, l.HardLimit)
 	}
-	d.most = min(d.most, drainMost)
+	d.most = min(d.most, drainMost) + drainPast
 	if len(o.Known) > 0 {
 		u, err := route.Parse(o.Known)
 		if err != nil {
@@ -272,6 +274,9 @@
 		case again:
 			d.subscribe()
 		case looking:
+			if d.Phases.Enter(Draining) {
+				d.Log("draining: %d requests held", len(d.held))
+			}
 			// A connection that has not brought a request yet gets some time to do so.
 			d.ingress.CloseIdle(250 * time.Millisecond)
 			d.wheel.Set(now+drainLook, looking{})
@@ -325,10 +330,12 @@
 			d.subscribe() // at once, and the old watch is dropped: its address is not to be used again
 		}
 	case stop:
-		if d.Phases.Enter(Draining) {
+		if d.Phases.Enter(Retiring) {
 			d.ended = d.clock()
-			d.wheel.Set(d.ended, looking{})
-			d.Log("draining: %d requests held", len(d.held))
+			// Clients whose connections end now may have nowhere to go: in a rolling
+			// restart the others may not be back yet. So that comes some time later.
+			d.wheel.Set(d.ended+retire*d.most, looking{})
+			d.Log("retiring: %d requests held", len(d.held))
 		}
 	}
 }
@@ -521,7 +528,7 @@
 	if p.Now() == Starting && d.table.Len() > 0 && p.Enter(Serving) {
 		d.Log("serving: %d egress targets known", d.table.Len())
 	}
-	if !p.Ending() {
+	if p.Now() < Retiring {
 		return false
 	}
 	owed := 0
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -259,7 +259,12 @@
 		t.Fatal("not sent")
 	}
 	r.take(stop{})
-	r.pass(2900 * time.Millisecond)
+	r.pass(1900 * time.Millisecond)
+	// The others may not be back yet: clients stay, though no new ones are wanted.
+	if r.Phases.Now() != Retiring || r.Phases.Ready() || r.Phases.Ending() {
+		t.Fatalf("phase %v, ready %v, ending %v soon after a stop", r.Phases.Now(), r.Phases.Ready(), r.Phases.Ending())
+	}
+	r.pass(1300 * time.Millisecond)
 	if r.Phases.Now() != Draining || len(a.answers) > 0 {
 		t.Fatalf("phase %v, answers %v before the drain's time is over", r.Phases.Now(), a.answers)
 	}
--- a/internal/dispatcher/phase.go
+++ b/internal/dispatcher/phase.go
@@ -9,13 +9,14 @@
 const (
 	Starting Phase = iota // the route table is empty, /healthz answers 503
 	Serving               // /healthz answers 200
-	Draining              // told to stop: takes what still comes, closes connections behind it
+	Retiring              // told to stop: /healthz answers 503, all else goes on
+	Draining              // takes what still comes, closes connections behind it
 	Closing               // the drain's time is over: what is held gets its final answer now
 	Stopped               // nothing is held, the loop has ended
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining", "closing", "stopped"}[p]
+	return [...]string{"starting", "serving", "retiring", "draining", "closing", "stopped"}[p]
 }
 
 // Phases is the one object that holds the program's phase. The loop moves it
