Refuse ids used of late and an empty Request-Timeout

Cause, by a log of the heads that passed: 'Request-Timeout:' with no value counted as none given (request.go), and an id of another client's request was refused only while that one was held (arrive); a moment later it was taken as new. Ids are never reused, so such a repeat could run an unsafe job twice. Ruled out: what the worker's 400 means for its health; none is left.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -78,6 +78,7 @@
 	wheel   *wheel.Wheel[any]
 	table   *route.Table
 	held    map[string]*held
+	recent  *recent
 	events  []balance.Event
 	last    float64 // the last step
 	watch   context.CancelFunc
@@ -148,6 +149,7 @@
 	for _, l := range o.Settings.Lanes {
 		d.most = max(d.most, l.HardLimit)
 	}
+	d.recent = newRecent(d.most, d.clock())
 	d.most = min(d.most, drainMost) + drainPast
 	if len(o.Known) > 0 {
 		u, err := route.Parse(o.Known)
@@ -340,17 +342,17 @@
 	}
 }
 
-// arrive takes a request in. One whose id is held already is turned away, so
-// that the first is not disturbed.
+// arrive takes a request in. One whose id is held already, or was of late, is
+// turned away, so that the first is not disturbed and does not run again.
 func (d *Dispatcher) arrive(r *ingress.Request) {
-	if d.held[r.ID] != nil {
-		r.Answer(ingress.Answer{Status: http.StatusConflict, Body: []byte("this Request-Id is in work\n")})
-		return
-	}
 	if d.Phases.Now() >= Closing {
 		r.Answer(ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter})
 		return
 	}
+	if d.held[r.ID] != nil || !d.recent.add(r.ID, d.clock()) {
+		r.Answer(ingress.Answer{Status: http.StatusConflict, Body: []byte("this Request-Id was used before\n")})
+		return
+	}
 	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout))}
 	d.held[r.ID] = h
 	h.timer = d.wheel.Set(h.deadline, deadline{h})
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -206,8 +206,8 @@
 				r.take(routeNews{watch: r.watchNo, up: u})
 			case 11:
 				r.take(routeNews{watch: r.watchNo, err: context.DeadlineExceeded})
-			case 12: // an id that is held already must not disturb the first
-				if len(r.jobs) > 0 && len(r.jobs[len(r.jobs)-1].answers) == 0 && !r.jobs[len(r.jobs)-1].left {
+			case 12: // an id that is held already must not disturb the first, nor run again one that was answered
+				if len(r.jobs) > 0 {
 					status := 0
 					r.take(arrived{&ingress.Request{ID: r.jobs[len(r.jobs)-1].req.ID, Class: "safe",
 						Answer: func(a ingress.Answer) { status = a.Status }}})
@@ -322,6 +322,23 @@
 	}
 }
 
+// Ids are remembered for their span at least, and not without bound.
+func TestRecent(t *testing.T) {
+	r := newRecent(10, 0)
+	if !r.add("a", 1) || r.add("a", 1) || r.add("a", 10.5) || !r.add("b", 11) || r.add("a", 20) {
+		t.Error("an id was forgotten within its span, or never known")
+	}
+	if !r.add("c", 22) || !r.add("a", 33) {
+		t.Error("an id is never forgotten")
+	}
+	for n := range 5 * recentMost {
+		r.add(fmt.Sprint(n), 34)
+	}
+	if all := len(r.now) + len(r.old); all > 2*recentMost {
+		t.Errorf("%d ids are remembered", all)
+	}
+}
+
 func TestTickFitsTheGrace(t *testing.T) {
 	for grace, want := range map[float64]float64{0: 0.004, 1: 0.004, 0.016: 0.004, 0.008: 0.002, 0.0001: 0.001} {
 		if got := fineTick(grace); got != want {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -172,6 +172,9 @@
 		{"class", "POST /safe HTTP/1.1\r\n" + head + "Request-Class: keyed\r\n\r\n", 400},
 		{"no key", "POST /keyed HTTP/1.1\r\n" + head + "\r\n", 400},
 		{"time-out", "POST /safe HTTP/1.1\r\n" + head + "Request-Timeout: NaN\r\n\r\n", 400},
+		{"empty time-out", "POST /safe HTTP/1.1\r\n" + head + "Request-Timeout:\r\n\r\n", 400},
+		{"infinite time-out", "POST /safe HTTP/1.1\r\n" + head + "Request-Timeout: Inf\r\n\r\n", 400},
+		{"negative time-out", "POST /safe HTTP/1.1\r\n" + head + "Request-Timeout: -1\r\n\r\n", 400},
 		{"figure", "POST /safe HTTP/1.1\r\n" + head + "Request-Info: slots=many\r\n\r\n", 400},
 		{"long body", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: 65537\r\n\r\n", 413},
 		{"long chunks", "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" +
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -96,8 +96,8 @@
 	case s.classes[class].Keyed && q.IdempotencyKey == "":
 		return nil, bad("this class wants an Idempotency-Key")
 	}
-	if t := h.Get("Request-Timeout"); t != "" {
-		v, err := strconv.ParseFloat(t, 64)
+	if t := h["Request-Timeout"]; t != nil { // an empty one is no time
+		v, err := strconv.ParseFloat(t[0], 64)
 		if err != nil || !(v >= 0 && v <= 86400) {
 			return nil, bad("Request-Timeout is not a time in seconds")
 		}
