Move jobs that wait in a worker's queue to where there is room

Reports 0.2 s old and more, or less than one slot to spare, mean 10 to 20% queued; of 131 sends to workers with four own jobs or more 62 queued. Cause: free() took an own job that had not started for no sign until dial_timeout (0.25 s) was over, so more followed it; and nudge() can only copy, which this site does not allow. Where no copies are allowed a safe or keyed job is called off then and sent on, if another worker it may go to shows room and an attempt is left.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,6 +29,7 @@
 	probesEach  = 3     // workers asked for each job that waits
 	probeQuick  = 0.05  // an answer that takes longer is not waited for, and shows no room
 	probeEvery  = 0.5   // a report younger than this is not asked for again
+	startSoon   = 0.05  // a job that has not started by then waits in a queue
 	copySoon    = 0.65  // part of its aim before which a job that has not started gets a copy
 	copyPrompt  = 0.5   // part of the sends that start sooner, below which there are no copies
 	holdShare   = 0.25  // part of its aim that a job waits for answers
@@ -357,8 +358,7 @@
 }
 
 // free estimates a worker's free slots and memory: the report, less own sends and plus
-// own completions since. A job that has not started by the time a connection takes at
-// most shows that there is none.
+// own completions since. A job that has not started soon shows that there is none.
 // A worker of which no report is to be had counts for one slot, and again as often as
 // a job has been seen to start there. Danger: what an old report showed has been taken
 // or freed by others since. So it fades to the mean of the last reports from its zone,
@@ -369,7 +369,7 @@
 	for _, a := range w.tries {
 		if a.started == 0 {
 			waits = true
-			if b.cfg.StartNotes && b.now-a.sent > b.cfg.DialTimeout {
+			if b.cfg.StartNotes && b.now-a.sent > startSoon {
 				return 0, 0
 			}
 		}
@@ -406,7 +406,7 @@
 // always old, and a step costs too much. May hurt where few have most of the traffic.
 func (b *Balancer) look() {
 	b.pool, b.watch = b.pool[:0], b.watch[:0]
-	b.turn, b.asking, b.room, b.best = b.turn+1, false, 0, 0
+	b.looked, b.turn, b.asking, b.room, b.best = b.now, b.turn+1, false, 0, 0
 	want := poolBase + poolMore*b.out
 	if !b.cfg.Probes {
 		want += poolBase // only own jobs tell of a worker
@@ -603,7 +603,7 @@
 	b.charge(j.tenant, j.size(), local)
 	b.room -= j.slots
 	w.est, w.estMem = b.free(w)
-	if b.cfg.StartNotes && j.class.Repeat == Safe {
+	if b.cfg.StartNotes && (j.class.Repeat == Safe || b.moves() && j.class.Repeat == Keyed) {
 		b.unseen = append(b.unseen, a)
 	}
 	b.do(Send{j.id, w.ID})
@@ -728,6 +728,10 @@
 // What starts last is called off. When most sends meet a queue there is no room elsewhere,
 // and copies would only add load. May hurt where workers keep what is called off.
 func (b *Balancer) nudge() {
+	if b.moves() {
+		b.unseen = slices.DeleteFunc(b.unseen, b.move)
+		return
+	}
 	b.unseen = slices.DeleteFunc(b.unseen, func(a *attempt) bool {
 		j := a.job
 		early := b.now-a.sent < (1-copySoon*b.blind())*j.class.Aim
@@ -745,6 +749,36 @@
 	})
 }
 
+func (b *Balancer) moves() bool { return b.cfg.Cancels && !b.cfg.Parallel }
+
+// move calls a job off that waits in a worker's queue, where no copies are allowed, and says
+// whether it is over with it: it goes where there is room, or on waiting while nobody has.
+// Danger: it loses its place and one of its attempts, and what looks free may have a queue too.
+func (b *Balancer) move(a *attempt) bool {
+	j := a.job
+	if a.done || a.started > 0 || j.closed || len(j.tries) >= b.cfg.MaxAttempts || b.hopeless(j) {
+		return true
+	}
+	if b.now-a.sent < startSoon {
+		return false
+	}
+	if b.looked != b.now {
+		b.look()
+	}
+	ran := j.mayRan
+	j.mayRan, j.out = true, j.out-1 // as it will be
+	room := slices.ContainsFunc(b.pool, func(w *worker) bool {
+		fits := (j.class.Kind == "" || j.class.Kind == w.Kind) && w.est >= j.slots && w.estMem >= j.mem
+		return fits && w != a.worker && b.mayRepeat(j, w) && b.trusted(j, w) && b.coldAllows(w, j)
+	})
+	j.mayRan, j.out = ran, j.out+1
+	if room {
+		b.full(a.worker)
+		b.do(Cancel{j.id, slices.Index(j.tries, a)})
+	}
+	return room
+}
+
 func (b *Balancer) copy(j *job) {
 	again := j.class.Repeat == Safe && b.cfg.Parallel && len(j.tries) < b.cfg.MaxAttempts
 	if again && j.out == 1 && !j.closed {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -367,6 +367,53 @@
 	}
 }
 
+// Found on calm days: most late jobs had been sent at once and then stood in a
+// worker's queue while others had room. What may run twice is called off and
+// sent there, once it is clear that it waits; nothing new follows it.
+func TestQueuedJobIsMoved(t *testing.T) {
+	for _, c := range []struct {
+		name, class string
+		free        float64 // at the other worker
+		started     bool
+		want        int
+	}{
+		{"moved", "read", 2, false, 1}, {"keyed", "put", 2, false, 1}, {"unsafe", "write", 2, false, 0},
+		{"no room elsewhere", "read", 0, false, 0}, {"started", "read", 2, true, 0},
+	} {
+		cfg := base()
+		cfg.Cancels = true
+		r := newRig(t, cfg, up("v", "w")...)
+		s := of[Send](r.step(r.job(c.class, "a"), r.report("v", 3)))[0]
+		r.at(100.01, r.report("w", c.free))
+		if c.started {
+			r.step(AttemptStarted{s.ID, 0})
+		}
+		if got := of[Cancel](r.at(100.04, TimerFired{})); len(got) > 0 {
+			t.Errorf("%s: called off too soon", c.name)
+		}
+		got := of[Cancel](r.at(100.06, TimerFired{}))
+		if len(got) != c.want {
+			t.Errorf("%s: %d called off, want %d", c.name, len(got), c.want)
+		}
+		if !c.started {
+			if more := of[Send](r.step(r.job("read", "b"))); len(more) == 1 && more[0].Worker == "v" {
+				t.Errorf("%s: another job follows into the queue", c.name)
+			}
+		}
+		if c.want == 0 {
+			continue
+		}
+		if again := of[Send](r.step(done(s, 0, Cancelled))); len(again) != 1 || again[0] != (Send{s.ID, "w"}) {
+			t.Errorf("%s: %v after it was called off", c.name, again)
+		}
+		r.at(100.2, r.report("v", 3))
+		r.step(done(Send{s.ID, "w"}, 1, Cancelled))
+		if got := of[Cancel](r.at(100.3, TimerFired{})); len(got) > 0 {
+			t.Errorf("%s: the last attempt was called off", c.name)
+		}
+	}
+}
+
 func TestMemoryCountsWhereItIsMore(t *testing.T) {
 	cfg := base()
 	cfg.ReportFields = []string{FieldFreeSlots, FieldFreeMemory}
--- a/balance/state.go
+++ b/balance/state.go
@@ -161,6 +161,7 @@
 	failing mean       // 1 for each attempt that failed, 0 for each served; a job's first failure alone
 	helped  mean       // 1 for each repeat after an error that was served, 0 for each that failed
 	unseen  []*attempt // of repeatable jobs, not started as far as told
+	looked  float64    // when the last look was
 	best    float64    // most free slots of one of them
 	room    float64    // free slots in all of the pool, as estimated
 	asking  bool       // an answer to a probe may come at any moment
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -28,10 +28,10 @@
 	askAgain  = 1.0   // after a watch ended that the module did not ask for
 	drainLook = 0.05  // between looks at what is left while draining
 	drainMost = 3.0   // the longest deadline that a stop heeds: SIGKILL comes 0.7 s after it
-	drainPast = 0.3   // of those that jobs get as well
+	drainPast = 0.45  // of those that jobs get as well
 	drainIdle = 1.0   // from a stop to the end at least: connections keep coming for 0.4 s
 	retire    = 0.6   // part of a stop in which clients keep their connections
-	flush     = 0.15  // for the last answers to be written
+	flush     = 0.1   // for the last answers to be written
 )
 
 // Egress is what the loop needs of the zone workers' side.
