Take a tenant's slice and its work elsewhere into the module by one small event

Need: the exchange of counts has to reach the decisions without a second scheduler. Share sets the part of a reservation that paces the local tag and moves the global tag by what other dispatchers sent, as the paper's piggybacked count does. A pending local tag is rescaled to the new pace.

Measured: 9 recorded streams of all events give, action by action, what they gave before the event existed.

--- a/balance/api.go
+++ b/balance/api.go
@@ -158,6 +158,15 @@
 // gets its final one, though attempts may be out.
 type Closing struct{}
 
+// Share says what other dispatchers tell of a tenant: the part of its reservation that this
+// one may use from now on, and what the others have sent for it since the last Share. With
+// none the part is one of Config.Dispatchers.
+type Share struct {
+	Tenant    string
+	Slice     float64 // 0 to 1
+	Elsewhere float64 // in slots; below 0 where what was sent proved not to have run
+}
+
 // WorkerState is what the roster says of a worker.
 type WorkerState string
 
@@ -201,6 +210,7 @@
 func (TimerFired) event()     {}
 func (Closing) event()        {}
 func (RosterUpdate) event()   {}
+func (Share) event()          {}
 
 // Action is something the caller has to carry out.
 type Action interface{ action() }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	trialPassed  = 3     // successes in a row that end a probation
 	poolBase     = 5     // workers that a dispatcher with nothing out looks at, twice as many without probes
 	poolMore     = 3     // and as many more for each attempt out
+	leastSlice   = 1e-6  // of a reservation, so that a tag stays a time
 	advised      = 0.125 // part of the wait here that a refused client is told, as others have room earlier
 	forget       = 600.0 // after which an unlisted worker is forgotten; no list is wrong for so long
 )
@@ -108,6 +109,8 @@
 			b.probed(e)
 		case RosterUpdate:
 			b.news(e)
+		case Share:
+			b.share(e)
 		case Closing:
 			for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
 				if j := b.jobs[id]; !j.closed {
@@ -193,13 +196,26 @@
 // spacing is the distance of local tags for so many slots: this dispatcher's
 // slice of the tenant's reservation, in slots a second, is its pace.
 func (b *Balancer) spacing(t *tenant, slots float64) float64 {
-	rate := t.quota * b.meanSlots.or(1, 1) / float64(b.cfg.Dispatchers)
+	rate := t.quota * b.meanSlots.or(1, 1) / t.parts
 	if rate <= 0 {
 		return math.Inf(1)
 	}
 	return slots / rate
 }
 
+// share takes in a new slice. A tag ahead of now is for what was sent at the old pace: it
+// comes back at the new one. What others sent moves the global tag as the paper's piggybacked
+// count does. Danger: a tenant served elsewhere waits here until the others have caught up;
+// its local tag, which only this dispatcher moves, still gives it the slice.
+func (b *Balancer) share(e Share) {
+	if t := b.byName[e.Tenant]; t != nil && e.Slice >= 0 && e.Slice <= 1 {
+		if parts := 1 / max(e.Slice, leastSlice); parts != t.parts {
+			t.local, t.parts = t.local+max(0, t.local-b.now)*(parts/t.parts-1), parts
+		}
+		t.global += e.Elsewhere / t.weight
+	}
+}
+
 // charge moves a tenant's tags past a job that leaves, or back (slots below 0) when it
 // proved not to have run. Service by the global tag lowers the waiting local tags by the
 // same spacing, so the tag of the next job stays where it is.
--- /dev/null
+++ b/balance/recorded_test.go
@@ -0,0 +1,193 @@
+package balance
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// stream drives a balancer through a day of every kind of event, drawn by a
+// seed, and returns a digest of all its actions in order. The stream does not
+// depend on anything but the seed and the actions themselves.
+func stream(t *testing.T, cfg Config, seed uint64, extra func(now float64) []Event) string {
+	t.Helper()
+	b, err := New(cfg, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := rand.New(rand.NewPCG(seed, 99))
+	type due struct {
+		at float64
+		e  Event
+	}
+	var later []due
+	now, n := 100.0, 0
+	put := func(after float64, e Event) { later = append(later, due{now + after, e}) }
+	var list []WorkerInfo
+	for i := range 8 {
+		list = append(list, WorkerInfo{ID: fmt.Sprint("w", i), Zone: []string{"here", "there"}[i%2], Kind: "k", State: Running, Cell: i})
+	}
+	events := []Event{RosterUpdate{Kind: RosterSaved, Workers: list}}
+	attempts := map[string]int{}
+	digest := sha256.New()
+	classes, tenants := []string{"read", "write", "put"}, []string{"a", "b", "c"}
+	for now < 140 {
+		for _, a := range b.Step(now, events) {
+			fmt.Fprintf(digest, "%.6f %T %+v\n", now, a, a)
+			switch a := a.(type) {
+			case Send:
+				k := attempts[a.ID]
+				attempts[a.ID]++
+				put(0.01, AttemptStarted{ID: a.ID, Attempt: k})
+				o := []Outcome{Served, Served, Served, Served, Errored, Full, Unreachable, Broken}[r.IntN(8)]
+				var rep []float64
+				if r.IntN(2) == 0 {
+					rep = []float64{float64(r.IntN(5))}
+				}
+				put(0.02+r.ExpFloat64()*0.3, AttemptDone{ID: a.ID, Attempt: k, Worker: a.Worker, Outcome: o, Closed: o == Served, Report: rep})
+			case Cancel:
+				put(0, AttemptDone{ID: a.ID, Attempt: a.Attempt, Outcome: Cancelled})
+			case Probe:
+				put(0.02, ProbeDone{Worker: a.Worker, Outcome: Served, Report: []float64{float64(r.IntN(5))}})
+			case SetTimer:
+				put(a.After, TimerFired{})
+			case Subscribe:
+				put(0.05, RosterUpdate{Kind: RosterFull, Workers: list})
+			}
+		}
+		events = nil
+		for range r.IntN(3) {
+			n++
+			events = append(events, JobArrived{ID: fmt.Sprint("j", n), Class: classes[r.IntN(3)], Tenant: tenants[r.IntN(3)],
+				Left: 1 + 9*r.Float64(), Slots: float64(r.IntN(3)), Retry: r.IntN(9) == 0})
+		}
+		if r.IntN(400) == 0 {
+			w := list[r.IntN(len(list))]
+			w.State = []WorkerState{Running, Draining, Gone}[r.IntN(3)]
+			events = append(events, RosterUpdate{Kind: RosterDelta, Workers: []WorkerInfo{w}})
+		}
+		if r.IntN(900) == 0 {
+			events = append(events, RosterUpdate{Kind: RosterFailed}, JobGone{ID: fmt.Sprint("j", n)})
+		}
+		now += 0.004 + 0.02*r.Float64()
+		var rest []due
+		for _, d := range later {
+			if d.at <= now {
+				events = append(events, d.e)
+			} else {
+				rest = append(rest, d)
+			}
+		}
+		later = rest
+		if extra != nil {
+			events = append(events, extra(now)...)
+		}
+	}
+	return fmt.Sprintf("%x", digest.Sum(nil))[:16]
+}
+
+func recordedConfigs() map[string]Config {
+	one := base()
+	four := base()
+	four.Dispatchers, four.Index, four.AskRoster, four.Cancels, four.MarksRetry, four.ProbeCharge = 4, 1, true, true, true, 0.01
+	seven := base()
+	seven.Dispatchers, seven.Index, seven.Parallel, seven.FullMayHaveRun, seven.OnlyDrainBinds = 7, 6, true, true, true
+	return map[string]Config{"one": one, "four": four, "seven": seven}
+}
+
+// recorded are the digests of the module's actions before it knew of Share.
+var recorded = map[string]string{
+	"four-0":  "ca3b1e11dab4f588",
+	"four-1":  "3b641a5417cc1fd8",
+	"four-2":  "986c8ab15d2a64ae",
+	"one-0":   "9c9b8304812b90e6",
+	"one-1":   "5f66bb7ae126a196",
+	"one-2":   "edb40caaffa9d8fd",
+	"seven-0": "5cf5465c785600bc",
+	"seven-1": "878bb4a81b8ff97e",
+	"seven-2": "1eee4a8eb144a74a",
+}
+
+// With no peers the decisions are, action by action, those that were recorded
+// before there were any; and a Share that says what holds anyhow changes none.
+func TestDecisionsAsRecorded(t *testing.T) {
+	for name, cfg := range recordedConfigs() {
+		for seed := range uint64(3) {
+			key := fmt.Sprint(name, "-", seed)
+			if got := stream(t, cfg, seed, nil); got != recorded[key] {
+				t.Errorf("%q: %q, recorded %q", key, got, recorded[key])
+			}
+		}
+	}
+}
+
+// The slice that a Share grants is what a tenant gets of due tags.
+func TestShareIsThePace(t *testing.T) {
+	served := func(slice float64) int {
+		cfg := base()
+		cfg.Dispatchers = 5
+		cfg.Classes[0].Aim, cfg.Classes[0].Deadline = 90, 200
+		cfg.Tenants = []Tenant{{Name: "a", Quota: 40, Weight: 1}, {Name: "b", Weight: 40}}
+		r := newRig(t, cfg, up("w")...)
+		var first []Event
+		for range 300 {
+			first = append(first, r.job("read", "a"), r.job("read", "b"))
+		}
+		if slice >= 0 {
+			first = append([]Event{Share{Tenant: "a", Slice: slice}}, first...)
+		}
+		r.step(first...)
+		n, total := 0, 0
+		last := of[Send](r.step(r.report("w", 1)))
+		for range 200 {
+			for _, s := range last {
+				if strings.HasPrefix(s.ID, "a") {
+					n++
+				}
+			}
+			r.now += 0.02 // 50 a second
+			var ended []Event
+			for _, s := range last {
+				end := done(s, 0, Served)
+				end.Report = []float64{1 + float64(n%2)} // a changed report is a fresh one
+				ended = append(ended, end)
+			}
+			total += len(last)
+			last = of[Send](r.step(ended...))
+		}
+		t.Log(slice, n, total)
+		return n
+	}
+	fixed, whole, none := served(-1), served(1), served(0)
+	if fixed < 30 || fixed > 45 || whole < 150 || none > 10 {
+		t.Errorf("of 200 in 4 s: %d with a fifth of 40 a second, %d with all of it, %d with none", fixed, whole, none)
+	}
+}
+
+// What others have sent for a tenant counts as sent here.
+func TestElsewhereMovesTheGlobalTag(t *testing.T) {
+	cfg := base()
+	cfg.Tenants = []Tenant{{Name: "a"}, {Name: "b"}}
+	r := newRig(t, cfg, up("w")...)
+	var first []Event
+	for range 60 {
+		first = append(first, r.job("read", "a"), r.job("read", "b"))
+	}
+	r.step(append(first, Share{Tenant: "a", Slice: 1, Elsewhere: 10})...)
+	n := 0
+	last := of[Send](r.step(r.report("w", 1)))
+	for range 30 {
+		for _, s := range last {
+			if strings.HasPrefix(s.ID, "a") {
+				n++
+			}
+		}
+		r.now += 0.01
+		last = of[Send](r.step(done(last[0], 0, Served)))
+	}
+	if n < 8 || n > 12 {
+		t.Errorf("%d of 30 for a, want some 10: it had 10 elsewhere", n)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -46,6 +46,7 @@
 	name   string
 	quota  float64
 	weight float64
+	parts  float64 // 1 over this dispatcher's part of the quota
 	local  float64 // tag of the next job by reservation
 	global float64 // tag of the next job by weight
 	tag    float64 // local, but no older than the job that is next
@@ -186,7 +187,7 @@
 }
 
 func (b *Balancer) addTenant(t Tenant) *tenant {
-	n := &tenant{name: t.Name, quota: t.Quota, weight: t.Weight, global: math.Inf(-1), local: math.Inf(-1),
+	n := &tenant{name: t.Name, quota: t.Quota, weight: t.Weight, parts: float64(b.cfg.Dispatchers), global: math.Inf(-1), local: math.Inf(-1),
 		bucket: idleCredit}
 	b.tenants, b.byName[t.Name] = append(b.tenants, n), n
 	return n
