Join instances into a cluster, with a command line, an operator's file and an admin listener

Need: the exchange of counts has to run between processes, and operators need a place to switch it on and look at it. Membership on memberlist (labels, rotating keys, rejoin every 0.5 s), messages in protobuf checked on reading, every drop counted by reason. kong, HCL with mistakes named by file, line and key, zerolog, prometheus; cmd/bellstream is now a parser over internal/service, where a subsystem is one construction and one line. Without a file nothing of it runs.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -49,6 +49,14 @@
 	CloseIdle(fresh time.Duration)
 }
 
+// Counter is told of what each tenant asks for and gets, where instances
+// exchange that. It is called on the loop and must not block.
+type Counter interface {
+	Asked(tenant string)
+	Start(tenant string, slots float64) // sent to a target
+	Back(tenant string, slots float64)  // that proved never to have run
+}
+
 // Options are what a Dispatcher is made of.
 type Options struct {
 	Settings *settings.Settings
@@ -59,6 +67,7 @@
 	Watch     func(ctx context.Context, discovery string, seq int64, each func(*route.Update)) error
 	Egress    Egress
 	Phases    *Phases
+	Counter   Counter // nil: nobody counts
 	Log       func(format string, args ...any)
 	Now       func() time.Time // the clock, monotonic
 }
@@ -105,6 +114,9 @@
 	return false
 }
 
+// size is what the module charges a tenant for a hop, in slots.
+func (h *held) size() float64 { return max(h.req.Slots, h.req.Memory, 1) }
+
 // What is posted to the loop, and what fires on its wheel.
 type (
 	arrived struct{ req *ingress.Request }
@@ -124,6 +136,7 @@
 		up    *route.Update // nil: the watch ended
 		err   error
 	}
+	shared   struct{ news []balance.Share }
 	stop     struct{}
 	redirect struct{ discovery string }
 	wake     struct{} // a timer of the module
@@ -205,6 +218,9 @@
 // else stays: held requests, the module's state and the table itself.
 func (d *Dispatcher) Redirect(discovery string) { d.post(redirect{discovery}) }
 
+// Share hands the module what other instances tell of tenants.
+func (d *Dispatcher) Share(news []balance.Share) { d.post(shared{news}) }
+
 // Run plays the loop until the dispatcher has drained after Stop.
 func (d *Dispatcher) Run(in Ingress) {
 	d.ingress = in
@@ -326,6 +342,10 @@
 		d.events = append(d.events, balance.ProbeDone{Worker: p.host, Outcome: p.news.Outcome, Report: p.news.Report})
 	case routeNews:
 		d.route(p)
+	case shared:
+		for _, s := range p.news {
+			d.events = append(d.events, s)
+		}
 	case redirect:
 		if d.Discovery != p.discovery {
 			d.Discovery = p.discovery
@@ -356,6 +376,9 @@
 	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout))}
 	d.held[r.ID] = h
 	h.timer = d.wheel.Set(h.deadline, deadline{h})
+	if d.Counter != nil {
+		d.Counter.Asked(r.Tenant)
+	}
 	d.events = append(d.events, balance.JobArrived{ID: r.ID, Class: r.Class, Tenant: r.Tenant,
 		Left: h.deadline - d.clock(), Slots: r.Slots, Memory: r.Memory, Retry: r.Retry})
 }
@@ -389,6 +412,9 @@
 
 func (d *Dispatcher) outcome(h *held, n int, o balance.Outcome, report []float64) {
 	h.hops[n] = nil
+	if d.Counter != nil && (o == balance.Full || o == balance.Unreachable || o == balance.Void) {
+		d.Counter.Back(h.req.Tenant, h.size()) // as the module does with its tags
+	}
 	d.events = append(d.events, balance.AttemptDone{ID: h.req.ID, Attempt: n, Outcome: o, Closed: h.answered, Report: report})
 	d.release(h)
 }
@@ -479,6 +505,9 @@
 		return
 	}
 	n := len(h.hops)
+	if d.Counter != nil {
+		d.Counter.Start(h.req.Tenant, h.size())
+	}
 	addr, ok := d.table.Dial(a.Worker)
 	if !ok {
 		h.hops = append(h.hops, nil)
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,287 @@
+// Package operator reads the operator's file: HCL, with every mistake named by
+// file, line and key. Everything in it is off where there is no file.
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"example.org/bellstream/internal/logging"
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/shares"
+)
+
+// File is the whole of it.
+type File struct {
+	Log    *Log    `hcl:"log,block"`
+	Admin  *Admin  `hcl:"admin,block"`
+	Peers  *Peers  `hcl:"peers,block"`
+	Counts *Counts `hcl:"counts,block"`
+
+	path string
+	body *hclsyntax.Body
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string `hcl:"level,optional"`
+	Format string `hcl:"format,optional"`
+}
+
+// Admin is the listener for operators.
+type Admin struct {
+	Listen string `hcl:"listen"`
+}
+
+// Peers says how instances of a cluster find each other.
+type Peers struct {
+	Name      string   `hcl:"name,optional"`      // default: the instance's own
+	Listen    string   `hcl:"listen"`             // UDP and TCP
+	Advertise string   `hcl:"advertise,optional"` // where others reach it; default: listen
+	Join      []string `hcl:"join,optional"`
+	KeyFile   string   `hcl:"key_file,optional"`
+	Period    string   `hcl:"period,optional"`
+	Cluster   string   `hcl:"cluster"`
+}
+
+// Counts says how far the exchange is trusted.
+type Counts struct {
+	Staleness string   `hcl:"staleness,optional"`
+	Floor     *float64 `hcl:"floor,optional"`
+	MaxError  *float64 `hcl:"max_error,optional"`
+	Forget    string   `hcl:"forget,optional"`
+	Delay     string   `hcl:"delay,optional"`
+	Loss      *float64 `hcl:"loss,optional"`
+	Instances int      `hcl:"instances,optional"`
+	Exchange  *bool    `hcl:"exchange,optional"`
+}
+
+// Defaults of the exchange, for a network inside one hall or between two.
+const (
+	Period    = 250 * time.Millisecond
+	Staleness = 4 * time.Second
+	Forget    = 2 * time.Minute
+	Delay     = 50 * time.Millisecond
+	Floor     = 0.02
+	Loss      = 0.1
+	Window    = 10.0 // s over which the stated error of a share counts
+)
+
+// Load reads a file. All its mistakes are in the one error, a line each.
+func Load(path string) (*File, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	return Parse(path, raw)
+}
+
+// Parse decodes a file's text and checks what can be checked by itself.
+func Parse(path string, raw []byte) (*File, error) {
+	parsed, diags := hclsyntax.ParseConfig(raw, path, hcl.InitialPos)
+	if diags.HasErrors() {
+		return nil, plain(diags)
+	}
+	f := &File{path: path, body: parsed.Body.(*hclsyntax.Body)}
+	if diags := gohcl.DecodeBody(parsed.Body, nil, f); diags.HasErrors() {
+		return nil, plain(diags)
+	}
+	return f, f.check()
+}
+
+// plain turns diagnostics into lines of file:line: what.
+func plain(diags hcl.Diagnostics) error {
+	var list []error
+	for _, d := range diags {
+		at := ""
+		if d.Subject != nil {
+			at = fmt.Sprintf("%s:%d: ", d.Subject.Filename, d.Subject.Start.Line)
+		}
+		list = append(list, fmt.Errorf("%s%s: %s", at, strings.TrimSuffix(d.Summary, "."), strings.ReplaceAll(d.Detail, "\n", " ")))
+	}
+	return errors.Join(list...)
+}
+
+// Wrong is a mistake at a key of a block: file, line, block.key, what.
+func (f *File) Wrong(block, key string, err error) error {
+	line := 1
+	for _, b := range f.body.Blocks {
+		if b.Type == block {
+			line = b.TypeRange.Start.Line
+			if a := b.Body.Attributes[key]; a != nil {
+				line = a.SrcRange.Start.Line
+			}
+		}
+	}
+	return fmt.Errorf("%s:%d: %s.%s: %w", f.path, line, block, key, err)
+}
+
+func (f *File) check() error {
+	var wrong []error
+	bad := func(block, key string, err error) {
+		if err != nil {
+			wrong = append(wrong, f.Wrong(block, key, err))
+		}
+	}
+	if l := f.Log; l != nil {
+		bad("log", "level", oneOf(l.Level, logging.Levels))
+		bad("log", "format", oneOf(l.Format, logging.Formats))
+	}
+	if f.Admin != nil {
+		bad("admin", "listen", address(f.Admin.Listen, false))
+	}
+	if p := f.Peers; p != nil {
+		bad("peers", "listen", address(p.Listen, false))
+		if p.Advertise != "" {
+			bad("peers", "advertise", address(p.Advertise, true))
+		}
+		for _, j := range p.Join {
+			bad("peers", "join", address(j, true))
+		}
+		if p.Cluster == "" {
+			bad("peers", "cluster", errors.New("must not be empty: instances of other clusters are told by it"))
+		}
+		if p.KeyFile != "" {
+			_, err := Keys(p.KeyFile)
+			bad("peers", "key_file", err)
+		}
+	}
+	if f.Counts != nil && f.Peers == nil {
+		bad("counts", "", errors.New("has no effect without a peers block"))
+	}
+	s, err := f.Shares(1)
+	if err != nil {
+		wrong = append(wrong, err)
+	} else if key, err := s.Check(max(f.instances(), 1), 0, Window, 0); err != nil {
+		block := "counts"
+		if key == "period" {
+			block = "peers"
+		}
+		bad(block, key, err)
+	}
+	return errors.Join(wrong...)
+}
+
+func (f *File) instances() int {
+	if f.Counts == nil {
+		return 0
+	}
+	return f.Counts.Instances
+}
+
+func oneOf(s string, list []string) error {
+	if s == "" || slices.Contains(list, s) {
+		return nil
+	}
+	return fmt.Errorf("%q is none of %s", s, strings.Join(list, ", "))
+}
+
+func address(s string, port bool) error {
+	host, p, err := net.SplitHostPort(s)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%q is not host:port", s)
+	case net.ParseIP(host) == nil:
+		return fmt.Errorf("%q: %q is not an IP address; names are not looked up", s, host)
+	case port && (p == "" || p == "0"):
+		return fmt.Errorf("%q has no port", s)
+	}
+	return nil
+}
+
+// Shares are the exchange's settings, for so many instances where the file
+// names no number.
+func (f *File) Shares(instances int) (shares.Settings, error) {
+	s := shares.Settings{Period: Period.Seconds(), Staleness: Staleness.Seconds(), Floor: Floor, Forget: Forget.Seconds(),
+		Instances: instances, Delay: Delay.Seconds(), Loss: Loss}
+	var wrong []error
+	take := func(block, key, text string, into *float64) {
+		if text == "" {
+			return
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil || d < 0 {
+			wrong = append(wrong, f.Wrong(block, key, fmt.Errorf("%q is no duration such as \"250ms\" or \"4s\"", text)))
+			return
+		}
+		*into = d.Seconds()
+	}
+	part := func(key string, v *float64, into *float64) {
+		if v == nil {
+			return
+		}
+		if math.IsNaN(*v) || *v < 0 || *v > 1 {
+			wrong = append(wrong, f.Wrong("counts", key, fmt.Errorf("%v is not from 0 to 1", *v)))
+			return
+		}
+		*into = *v
+	}
+	if f.Peers != nil {
+		take("peers", "period", f.Peers.Period, &s.Period)
+	}
+	if c := f.Counts; c != nil {
+		take("counts", "staleness", c.Staleness, &s.Staleness)
+		take("counts", "forget", c.Forget, &s.Forget)
+		take("counts", "delay", c.Delay, &s.Delay)
+		part("floor", c.Floor, &s.Floor)
+		part("loss", c.Loss, &s.Loss)
+		var most float64
+		part("max_error", c.MaxError, &most)
+		if c.Instances < 0 || c.Instances > 1000 {
+			wrong = append(wrong, f.Wrong("counts", "instances", fmt.Errorf("%d is not from 0 to 1000", c.Instances)))
+		} else if c.Instances > 0 {
+			s.Instances = c.Instances
+		}
+	}
+	return s, errors.Join(wrong...)
+}
+
+// Fit checks that the file's promises can be met for these tenants, of which
+// the smallest reservation counts, and says what is promised.
+func (f *File) Fit(instances int, tenants []shares.Tenant) (shares.Settings, shares.Bound, error) {
+	s, err := f.Shares(instances)
+	if err != nil {
+		return s, shares.Bound{}, err
+	}
+	least := 0.0
+	for _, t := range tenants {
+		if t.Quota > 0 && (least == 0 || t.Quota < least) {
+			least = t.Quota
+		}
+	}
+	most := 0.0
+	if f.Counts != nil && f.Counts.MaxError != nil {
+		most = *f.Counts.MaxError
+	}
+	if key, err := s.Check(s.Instances, least, Window, most); err != nil {
+		block := "counts"
+		if key == "period" {
+			block = "peers"
+		}
+		return s, shares.Bound{}, f.Wrong(block, key, err)
+	}
+	return s, s.Bounds(s.Instances, least, Window), nil
+}
+
+// Warnings are settings of the platform's own file that leave the module blind.
+func Warnings(s *settings.Settings) (list []string) {
+	free := false
+	for _, f := range s.Config().ReportFields {
+		free = free || f == "free_slots"
+	}
+	if s.Reporting.How != "silent" && s.Reporting.How != "" && !free {
+		list = append(list, "settings: no report field gives free slots (family_info.report_x0 or report_x1): "+
+			"every worker counts for one slot, and most of the fleet may stand idle")
+	}
+	return list
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,94 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/shares"
+)
+
+// Every mistake is named by file, line and key, all of them at once.
+func TestMistakes(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "keys")
+	os.WriteFile(bad, []byte("# keys\nc2VjcmV0IHNlY3JldA==\n"), 0o600)
+	const peers = "peers {\n listen = \"127.0.0.1:1\"\n cluster = \"c\"\n"
+	for _, c := range []struct{ text, want string }{
+		{"log {", "f.hcl:1: "},
+		{"nothing {}", "f.hcl:1: Unsupported block type"},
+		{"log {\n level = \"loud\"\n}", "f.hcl:2: log.level: \"loud\" is none of debug"},
+		{"log {\n format = \"xml\"\n}", "f.hcl:2: log.format"},
+		{"log {\n colour = true\n}", "f.hcl:2: Unsupported argument"},
+		{"admin {\n}", "f.hcl:1: Missing required argument"},
+		{"admin {\n listen = \"x\"\n}", "f.hcl:2: admin.listen: \"x\" is not host:port"},
+		{"admin {\n listen = 5\n}\nadmin {\n listen = \"127.0.0.1:1\"\n}", "f.hcl:4: Duplicate admin block"},
+		{peers + " join = [\"n2.example:1\"]\n}", "f.hcl:4: peers.join: \"n2.example:1\": \"n2.example\" is not an IP address"},
+		{peers + " join = [\"127.0.0.1:0\"]\n}", "f.hcl:4: peers.join: \"127.0.0.1:0\" has no port"},
+		{peers + " period = \"fast\"\n}", "f.hcl:4: peers.period: \"fast\" is no duration"},
+		{peers + " period = \"1ms\"\n}", "f.hcl:4: peers.period: 0.001 s"},
+		{peers + " key_file = \"" + bad + "\"\n}", "keys:2: not a key"},
+		{peers + " key_file = \"/none\"\n}", "f.hcl:4: peers.key_file: open /none"},
+		{peers + "}\ncounts {\n loss = 0.9\n}", "f.hcl:6: counts.loss: 0.9"},
+		{peers + "}\ncounts {\n staleness = \"500ms\"\n}", "f.hcl:6: counts.staleness: 0.50 s is too short"},
+		{peers + "}\ncounts {\n instances = -1\n}", "f.hcl:6: counts.instances"},
+		{"counts {\n floor = 0.1\n}", "f.hcl:1: counts.: has no effect"},
+	} {
+		_, err := Parse("f.hcl", []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s\ngot  %v\nwant %s", c.text, err, c.want)
+		} else if strings.Contains(err.Error(), "c2VjcmV0") {
+			t.Errorf("the error holds a key: %v", err)
+		}
+	}
+	two, err := Parse("f.hcl", []byte("log {\n level = \"loud\"\n format = \"xml\"\n}"))
+	if two == nil || strings.Count(err.Error(), "\n") != 1 {
+		t.Errorf("want both mistakes, got %v", err)
+	}
+}
+
+// A promise that can't be met is refused, with the figure to change.
+func TestPromises(t *testing.T) {
+	parse := func(counts string) *File {
+		f, err := Parse("f.hcl", []byte("peers {\n listen = \"127.0.0.1:1\"\n cluster = \"c\"\n}\ncounts {\n"+counts+"\n}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	tenants := []shares.Tenant{{Name: "a", Quota: 20}, {Name: "b", Quota: 8}, {Name: "none"}}
+	if _, b, err := parse("max_error = 0.2").Fit(5, tenants); err != nil || b.Share <= 0 || b.Share > 0.2 {
+		t.Errorf("%+v, %v", b, err)
+	}
+	for counts, want := range map[string]string{
+		"max_error = 0.01":                   "f.hcl:1: peers.period: max_error 0.010 can't be met",
+		"max_error = 0.3\nfloor = 0.4":       "f.hcl:7: counts.floor",
+		"max_error = 0.2\ninstances = 100":   "f.hcl:6: counts.max_error",
+		"max_error = 0.2\nloss = 0.45":       "",
+		"staleness = \"1500ms\"\nloss = 0.4": "f.hcl:6: counts.staleness",
+	} {
+		f, err := Parse("f.hcl", []byte("peers {\n listen = \"127.0.0.1:1\"\n cluster = \"c\"\n}\ncounts {\n"+counts+"\n}"))
+		if err == nil {
+			_, _, err = f.Fit(5, tenants)
+		}
+		if want == "" && err != nil && !strings.Contains(err.Error(), "max_error") || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: got %v, want %s", counts, err, want)
+		}
+	}
+}
+
+// Settings that leave the module without free slots are told of.
+func TestBlind(t *testing.T) {
+	const text = `{"lanes":[{"name":"c","semantics":"safe"}],"reporting":{"how":"pull","fields":["x0"]}%s}`
+	for more, want := range map[string]int{"": 1, `,"family_info":{"report_x0":"free slots"}`: 0, `,"family_info":{"report_x0":"free memory"}`: 1} {
+		s, err := settings.Parse([]byte(strings.Replace(text, "%s", more, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := Warnings(s); len(got) != want {
+			t.Errorf("%s: %v", more, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/metrics.go
@@ -0,0 +1,58 @@
+package peers
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// collector shows a node's status as metrics. Labels are tenants of the
+// settings and reasons from a fixed list: nothing that a peer sends makes a new one.
+type collector struct {
+	n                                             *Node
+	seen, size, slice, net, drops, sent, bytes, h *prometheus.Desc
+}
+
+// Collector are the node's metrics.
+func (n *Node) Collector() prometheus.Collector {
+	d := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("bellstream_peers_"+name, help, labels, nil)
+	}
+	return &collector{n: n,
+		seen:  d("seen", "Other instances that membership sees."),
+		size:  d("size", "Instances among which reservations are divided."),
+		slice: d("slice_ratio", "Part of a tenant's reservation that this instance may use now.", "tenant"),
+		net:   d("started_slots_total", "Slots started by all instances, as known here, less those that never ran.", "tenant"),
+		drops: d("dropped_total", "Messages dropped.", "reason"),
+		sent:  d("sent_total", "Messages sent."),
+		bytes: d("sent_bytes_total", "Bytes of messages sent, before encryption."),
+		h:     d("heard_total", "Messages heard."),
+	}
+}
+
+func (c *collector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{c.seen, c.size, c.slice, c.net, c.drops, c.sent, c.bytes, c.h} {
+		ch <- d
+	}
+}
+
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	s := c.n.Status()
+	put := func(d *prometheus.Desc, t prometheus.ValueType, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, t, v, labels...)
+	}
+	seen := 0
+	for _, p := range s.Peers {
+		if p.Present {
+			seen++
+		}
+	}
+	put(c.seen, prometheus.GaugeValue, float64(seen))
+	put(c.size, prometheus.GaugeValue, float64(s.Size))
+	put(c.sent, prometheus.CounterValue, float64(s.Sent))
+	put(c.bytes, prometheus.CounterValue, float64(s.SentBytes))
+	put(c.h, prometheus.CounterValue, float64(s.Heard))
+	for _, t := range s.Tenants {
+		put(c.slice, prometheus.GaugeValue, t.Slice, t.Name)
+		put(c.net, prometheus.GaugeValue, t.Net, t.Name)
+	}
+	for reason, n := range s.Drops {
+		put(c.drops, prometheus.CounterValue, float64(n), reason)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,478 @@
+// Package peers carries the exchange of counts and shares between the
+// instances of a cluster: membership by memberlist, messages in protobuf.
+//
+// Node's one goroutine owns the exchange; callbacks of membership only copy
+// what they get into its bounded inbox. What is lost there, or on the way, is
+// counted: the exchange repairs it by itself.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/rs/zerolog"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/counts"
+	"example.org/bellstream/internal/logging"
+	"example.org/bellstream/internal/peers/wire"
+	"example.org/bellstream/internal/shares"
+)
+
+// Figures of the membership. The figures of the exchange are settings.
+const (
+	inboxLen  = 1024
+	pushPull  = 5 * time.Second        // between exchanges of all that is known, with one other
+	rejoin    = 500 * time.Millisecond // between tries to reach who is missing
+	tcpWait   = 2 * time.Second
+	logEvery  = time.Minute
+	leaveWait = 300 * time.Millisecond
+)
+
+// Options are what a Node is made of.
+type Options struct {
+	Name        string
+	Listen      string // host:port, UDP and TCP; port 0 takes a free one
+	Advertise   string // where others reach it; empty: where it listens
+	Join        []string
+	Keys        [][]byte // the first is written with; none: in the clear
+	Cluster     string
+	Incarnation uint64 // higher with each start
+	Settings    shares.Settings
+	Tenants     []shares.Tenant
+	Exchange    bool // false: membership alone
+	Log         zerolog.Logger
+	Now         func() time.Time // monotonic
+	Tell        func([]balance.Share)
+}
+
+// Node is this instance among its peers.
+type Node struct {
+	Options
+	list    *memberlist.Memberlist
+	keyring *memberlist.Keyring
+	x       *shares.Exchange
+	byID    map[uint64]shares.Tenant
+	cluster uint64
+	base    time.Time
+	limit   *logging.Limited
+	inbox   chan any
+	done    chan struct{}
+	ended   sync.WaitGroup
+	status  atomic.Pointer[Status]
+
+	mu    sync.Mutex
+	addrs map[string]memberlist.Address // of all that were ever seen and have not left
+	there map[string]bool
+	drops map[string]uint64
+
+	// The goroutine's own.
+	slices []uint32
+	told   []uint32
+	tries  atomic.Bool // a join is under way
+}
+
+// What comes to the goroutine.
+type (
+	heard   struct{ raw []byte }
+	gone    struct{ name string }
+	leaving struct{}
+	reading struct{ to chan Report }
+)
+
+// Status is what operators see.
+type Status struct {
+	Name        string            `json:"name"`
+	Cluster     string            `json:"cluster"`
+	Listen      string            `json:"listen"`
+	Incarnation uint64            `json:"incarnation"`
+	Joined      bool              `json:"joined"`
+	Size        int               `json:"size"`
+	Peers       []shares.Peer     `json:"peers"`
+	Tenants     []TenantStatus    `json:"tenants"`
+	Drops       map[string]uint64 `json:"drops"`
+	Stated      shares.Bound      `json:"stated"`
+	Sent        uint64            `json:"sent"`
+	SentBytes   uint64            `json:"sent_bytes"`
+	Heard       uint64            `json:"heard"`
+}
+
+// Report is the counts of all instances, for those who check them.
+type Report map[string]struct{ Starts, Backs uint64 }
+
+// TenantStatus is one tenant's part.
+type TenantStatus struct {
+	Name  string  `json:"name"`
+	Quota float64 `json:"quota_per_s"`
+	Slice float64 `json:"slice"` // of the reservation, here and now
+	Net   float64 `json:"net"`   // slots started by all, as known here
+	Mine  float64 `json:"mine"`  // by this life
+}
+
+// New starts membership and the exchange. Addresses to join may be wrong or not
+// up yet: that is tried again until Close.
+func New(o Options) (*Node, error) {
+	n := &Node{Options: o, cluster: wire.Cluster(o.Cluster), base: o.Now(), inbox: make(chan any, inboxLen),
+		done: make(chan struct{}), limit: logging.NewLimited(logEvery, o.Now), addrs: map[string]memberlist.Address{},
+		there: map[string]bool{}, drops: map[string]uint64{}, byID: map[uint64]shares.Tenant{}}
+	for _, t := range o.Tenants {
+		n.byID[t.ID] = t
+	}
+	n.x = shares.NewExchange(o.Settings, o.Name, o.Incarnation, o.Tenants, 0)
+	if err := n.open(); err != nil {
+		return nil, err
+	}
+	n.status.Store(&Status{Name: o.Name, Cluster: o.Cluster, Listen: n.Addr()})
+	n.ended.Add(1)
+	go n.run()
+	return n, nil
+}
+
+func (n *Node) open() error {
+	host, portText, err := net.SplitHostPort(n.Listen)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return fmt.Errorf("peers: port %q", portText)
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Logger = newLog(n)
+	t, err := newTransport(host, port, c.Logger)
+	if err != nil {
+		return fmt.Errorf("peers: listen %s: %w", n.Listen, err)
+	}
+	c.Transport, c.Name, c.Label = t, n.Name, n.Cluster
+	c.BindAddr, c.BindPort = host, t.GetAutoBindPort()
+	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
+	if n.Advertise != "" {
+		h, p, err := net.SplitHostPort(n.Advertise)
+		if err == nil {
+			c.AdvertiseAddr = h
+			c.AdvertisePort, err = strconv.Atoi(p)
+		}
+		if err != nil {
+			t.Shutdown()
+			return fmt.Errorf("peers: advertise %s: %w", n.Advertise, err)
+		}
+	}
+	c.PushPullInterval, c.TCPTimeout = pushPull, tcpWait
+	c.GossipToTheDeadTime, c.DeadNodeReclaimTime = time.Minute, time.Second
+	c.Delegate, c.Events, c.Conflict = delegate{n}, events{n}, conflicts{n}
+	c.DelegateProtocolVersion, c.DelegateProtocolMin, c.DelegateProtocolMax = wire.Version, wire.Needs, wire.Version
+	if len(n.Keys) > 0 {
+		if n.keyring, err = memberlist.NewKeyring(n.Keys, n.Keys[0]); err != nil {
+			t.Shutdown()
+			return fmt.Errorf("peers: keys: %w", err)
+		}
+		c.Keyring = n.keyring
+	}
+	if n.list, err = memberlist.Create(c); err != nil {
+		t.Shutdown()
+		return fmt.Errorf("peers: %w", err)
+	}
+	return nil
+}
+
+// Addr is where the instance listens for its peers.
+func (n *Node) Addr() string { return n.list.LocalNode().Address() }
+
+// Asked, Start and Back count on the loop's path; see counts.Meter.
+func (n *Node) Asked(tenant string) { n.x.Meter.Asked(tenant) }
+
+// Start counts a job that was sent to a worker.
+func (n *Node) Start(tenant string, slots float64) { n.x.Meter.Start(tenant, slots) }
+
+// Back counts that such a job proved never to have run.
+func (n *Node) Back(tenant string, slots float64) { n.x.Meter.Back(tenant, slots) }
+
+// Status is the latest status. The caller must not change it.
+func (n *Node) Status() *Status { return n.status.Load() }
+
+func (n *Node) clock() float64 { return n.Now().Sub(n.base).Seconds() }
+
+// post hands something to the goroutine; what does not fit is dropped and counted.
+func (n *Node) post(p any) {
+	select {
+	case n.inbox <- p:
+	default:
+		n.drop("inbox full", "")
+	}
+}
+
+// drop counts what was dropped and logs it, at most once a minute for a reason.
+func (n *Node) drop(reason, detail string) {
+	n.mu.Lock()
+	n.drops[reason]++
+	n.mu.Unlock()
+	n.limit.Do(reason, func(held int) {
+		e := n.Log.Warn().Str("reason", reason)
+		if held > 0 {
+			e = e.Int("held_back", held)
+		}
+		e.Str("detail", detail).Msg("peers: dropped what came")
+	})
+}
+
+// Leave says goodbye to the peers: from now on this instance starts what still
+// comes by weight alone, and the others may use its part.
+func (n *Node) Leave() { n.post(leaving{}) }
+
+// Close ends membership. It waits no longer than leaveWait for the goodbye.
+func (n *Node) Close() {
+	close(n.done)
+	n.ended.Wait()
+	n.list.Leave(leaveWait)
+	n.list.Shutdown()
+}
+
+// Rotate takes other keys into use: what is new is read with first, then the
+// first one is written with, then the old ones are dropped. As long as every
+// instance has the new key before any writes with it, nothing is lost.
+func (n *Node) Rotate(keys [][]byte) error {
+	if n.keyring == nil || len(keys) == 0 {
+		if (n.keyring == nil) != (len(keys) == 0) {
+			return fmt.Errorf("peers: a cluster goes from clear to encrypted, or back, by a restart of all")
+		}
+		return nil
+	}
+	for _, k := range keys {
+		if err := n.keyring.AddKey(k); err != nil {
+			return fmt.Errorf("peers: %w", err)
+		}
+	}
+	if err := n.keyring.UseKey(keys[0]); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	for _, old := range n.keyring.GetKeys() {
+		kept := false
+		for _, k := range keys {
+			kept = kept || string(k) == string(old)
+		}
+		if !kept {
+			if err := n.keyring.RemoveKey(old); err != nil {
+				return fmt.Errorf("peers: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+// run is the goroutine that owns the exchange.
+func (n *Node) run() {
+	defer n.ended.Done()
+	period := time.Duration(n.Settings.Period * float64(time.Second))
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	lookAt := time.Duration(0)
+	for {
+		select {
+		case <-n.done:
+			return
+		case p := <-n.inbox:
+			n.take(p)
+		case <-tick.C:
+			n.round()
+			if lookAt -= period; lookAt <= 0 {
+				lookAt = rejoin
+				n.missing()
+			}
+		}
+	}
+}
+
+func (n *Node) take(p any) {
+	switch p := p.(type) {
+	case heard:
+		m, records, err := wire.Read(n.cluster, p.raw)
+		if err != nil {
+			n.drop(reason(err), err.Error())
+			return
+		}
+		if m != nil {
+			n.heardOne()
+			if err := n.x.Hear(n.clock(), m); err != nil {
+				n.limit.Do("hear", func(int) { n.Log.Warn().Msgf("peers: %v", err) })
+			}
+		}
+		if records != nil {
+			n.x.Learn(n.clock(), records)
+		}
+	case gone:
+		n.x.Book.Forgotten(p.name)
+	case leaving:
+		n.x.Book.Leave()
+		n.round()
+	case reading:
+		p.to <- n.report()
+	}
+}
+
+// reason is the class of an error: counted under its own words, what a peer
+// sends could make keys without end.
+func reason(err error) string {
+	for _, known := range []error{wire.ErrCluster, wire.ErrVersion, wire.ErrTooLarge} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	return wire.ErrGarbled.Error()
+}
+
+func (n *Node) heardOne() {
+	s := *n.status.Load()
+	s.Heard++
+	n.status.Store(&s)
+}
+
+// round plays one round of the exchange.
+func (n *Node) round() {
+	now := n.clock()
+	n.mu.Lock()
+	names := make([]string, 0, len(n.there))
+	for name := range n.there {
+		names = append(names, name)
+	}
+	n.mu.Unlock()
+	n.x.Book.Members(now, names)
+	out := n.x.Round(now)
+	s := *n.status.Load()
+	if n.Exchange {
+		n.tell(now)
+		for _, m := range out {
+			n.mu.Lock()
+			to, known := n.addrs[m.To]
+			n.mu.Unlock()
+			if !known {
+				continue
+			}
+			raw := wire.Beacon(n.cluster, m)
+			s.Sent++
+			s.SentBytes += uint64(len(raw))
+			if err := n.list.SendToAddress(to, raw); err != nil {
+				n.limit.Do("send", func(int) { n.Log.Warn().Err(err).Str("to", m.To).Msg("peers: not sent") })
+			}
+		}
+	}
+	n.publish(now, s)
+}
+
+// tell gives the loop what has changed for it.
+func (n *Node) tell(now float64) {
+	st := n.x.Set.Snapshot()
+	n.slices = n.x.Book.Slices(now, n.slices)
+	elsewhere := n.x.Book.Elsewhere(now, st)
+	first := n.told == nil
+	if first {
+		n.told = make([]uint32, len(n.slices))
+	}
+	var news []balance.Share
+	for i, id := range n.x.Meter.IDs() {
+		if first || n.slices[i] != n.told[i] || elsewhere[i] != 0 {
+			n.told[i] = n.slices[i]
+			news = append(news, balance.Share{Tenant: n.byID[id].Name, Slice: float64(n.slices[i]) / shares.Whole, Elsewhere: elsewhere[i]})
+		}
+	}
+	if len(news) > 0 {
+		n.Tell(news)
+	}
+}
+
+func (n *Node) publish(now float64, s Status) {
+	st := n.x.Set.Snapshot()
+	mine, _ := st.Record(n.Name).Life(n.x.Set.Incarnation())
+	s.Incarnation, s.Joined, s.Size = n.x.Set.Incarnation(), n.x.Book.Joined(), n.x.Book.Size(now)
+	s.Peers, s.Tenants, s.Drops = n.x.Book.Peers(now), nil, map[string]uint64{}
+	least := 0.0
+	for i, id := range n.x.Meter.IDs() {
+		t := n.byID[id]
+		if t.Quota > 0 && (least == 0 || t.Quota < least) {
+			least = t.Quota
+		}
+		x := TenantStatus{Name: t.Name, Quota: t.Quota, Net: float64(st.Total(id).Net()) / counts.Unit, Mine: float64(mine.At(id).Net()) / counts.Unit}
+		if i < len(n.slices) {
+			x.Slice = float64(n.slices[i]) / shares.Whole
+		}
+		s.Tenants = append(s.Tenants, x)
+	}
+	s.Stated = n.Settings.Bounds(s.Size, least, 10)
+	n.mu.Lock()
+	for k, v := range n.drops {
+		s.Drops[k] = v
+	}
+	n.mu.Unlock()
+	for k, v := range n.x.Book.Drops() {
+		s.Drops[k] += v
+	}
+	n.status.Store(&s)
+}
+
+// Counts are the counts of all instances by tenant, as known now.
+func (n *Node) Counts() Report {
+	to := make(chan Report, 1)
+	select {
+	case n.inbox <- reading{to}:
+	case <-n.done:
+		return nil
+	}
+	select {
+	case r := <-to:
+		return r
+	case <-n.done:
+		return nil
+	}
+}
+
+func (n *Node) report() Report {
+	r := Report{}
+	st := n.x.Set.Snapshot()
+	for _, t := range n.Tenants {
+		p := st.Total(t.ID)
+		r[t.Name] = struct{ Starts, Backs uint64 }{p.Starts, p.Backs}
+	}
+	return r
+}
+
+// missing tries to reach instances that membership does not see: those of the
+// operator's list, and those that were seen before.
+func (n *Node) missing() {
+	n.mu.Lock()
+	alive := map[string]bool{n.list.LocalNode().Address(): true}
+	var absent []string
+	for name, a := range n.addrs {
+		if n.there[name] {
+			alive[a.Addr] = true
+		} else {
+			absent = append(absent, a.Addr)
+		}
+	}
+	n.mu.Unlock()
+	for _, a := range n.Join {
+		if !alive[a] {
+			absent = append(absent, a)
+		}
+	}
+	if len(absent) == 0 || !n.tries.CompareAndSwap(false, true) {
+		return
+	}
+	n.ended.Add(1)
+	go func() { // a join waits for the network
+		defer n.ended.Done()
+		defer n.tries.Store(false)
+		for _, a := range absent {
+			select {
+			case <-n.done:
+				return
+			default:
+				n.list.Join([]string{a}) // what fails is tried again
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/peers/wire/wire_test.go
@@ -0,0 +1,115 @@
+package wire
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"example.org/bellstream/internal/counts"
+	"example.org/bellstream/internal/shares"
+)
+
+var sample = &shares.Message{From: "a", To: "b", Incarnation: 9, Seq: 3, Echo: 4, EchoSeq: 2, EchoBits: 1, View: 77, Size: 5,
+	Settled: true, Lo: 1, Hi: 1 << 63, Table: 8, Needs: []shares.Part{{Tenant: 4, Share: 100}}, Grants: []shares.Part{{Tenant: 5, Share: 7}},
+	Rows: counts.Column{{Tenant: 4, Pair: counts.Pair{Starts: 5000, Backs: 1000}}, {Tenant: 6, Pair: counts.Pair{Starts: 1}}}}
+
+func state() counts.State {
+	s, _ := counts.Empty().Merge(
+		&counts.Record{Name: "a", Fold: counts.Fold{By: 9, Seq: 1, Through: 3, Rows: counts.Column{{Tenant: 1, Pair: counts.Pair{Starts: 2}}}},
+			Lives: []counts.Life{{Incarnation: 4, Rows: sample.Rows}, {Incarnation: 9}}},
+		&counts.Record{Name: "b", Lives: []counts.Life{{Incarnation: 1, Rows: sample.Rows}}})
+	return s
+}
+
+func TestBothWays(t *testing.T) {
+	m, _, err := Read(5, Beacon(5, sample))
+	if err != nil || !reflect.DeepEqual(m, sample) {
+		t.Errorf("got %+v, %v", m, err)
+	}
+	_, list, err := Read(5, Knowledge(5, state()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, _ := counts.Empty().Merge(list...)
+	if !reflect.DeepEqual(back.Totals(), state().Totals()) || back.Len() != 2 {
+		t.Errorf("got %v", back.Totals())
+	}
+	if len(Beacon(5, sample)) != Size(sample) {
+		t.Error("Size differs")
+	}
+}
+
+// A newer build adds fields: they are passed over, unless it says that this
+// one can't read it rightly.
+func TestOtherBuilds(t *testing.T) {
+	raw := Beacon(5, sample)
+	raw = protowire.AppendTag(raw, 999, protowire.BytesType)
+	raw = protowire.AppendBytes(raw, []byte("new"))
+	if m, _, err := Read(5, raw); err != nil || m.Seq != 3 {
+		t.Errorf("%v, %v", m, err)
+	}
+	newer, _ := proto.Marshal(&Envelope{Version: 3, Needs: 2, Cluster: 5})
+	if _, _, err := Read(5, newer); !errors.Is(err, ErrVersion) {
+		t.Errorf("newer: %v", err)
+	}
+}
+
+func TestRefused(t *testing.T) {
+	envelope := func(e *Envelope) []byte { e.Cluster, e.Needs = 5, 1; return marshal(e) }
+	rows := func(r *Rows) []byte {
+		return envelope(&Envelope{Body: &Envelope_Beacon{Beacon: &BeaconMsg{From: "a", To: "b", Rows: r}}})
+	}
+	record := func(r *Record) []byte {
+		return envelope(&Envelope{Body: &Envelope_Knowledge{Knowledge: &KnowledgeMsg{Records: []*Record{r}}}})
+	}
+	for name, c := range map[string]struct {
+		raw  []byte
+		want error
+	}{
+		"other cluster":      {Beacon(6, sample), ErrCluster},
+		"cut":                {Beacon(5, sample)[:40], ErrGarbled},
+		"empty":              {nil, ErrCluster},
+		"no body":            {envelope(&Envelope{}), ErrGarbled},
+		"no sender":          {envelope(&Envelope{Body: &Envelope_Beacon{Beacon: &BeaconMsg{To: "b"}}}), ErrGarbled},
+		"uneven rows":        {rows(&Rows{Tenant: []uint64{1}}), ErrGarbled},
+		"more back than out": {rows(&Rows{Tenant: []uint64{1}, Starts: []uint64{1}, Backs: []uint64{2}}), ErrGarbled},
+		"sums overflow":      {rows(&Rows{Tenant: []uint64{1}, Starts: []uint64{1 << 60}}), ErrGarbled},
+		"large":              {rows(&Rows{Tenant: make([]uint64, MaxRows), Starts: make([]uint64, MaxRows)}), ErrTooLarge},
+		"huge":               {make([]byte, MaxKnowledge+1), ErrTooLarge},
+		"nameless":           {record(&Record{}), ErrGarbled},
+		"lives out of order": {record(&Record{Name: "x", Lives: []*Life{{Incarnation: 2}, {Incarnation: 1}}}), ErrGarbled},
+		"fold of the future": {record(&Record{Name: "x", FoldBy: 1, FoldThrough: 2}), ErrGarbled},
+	} {
+		if _, _, err := Read(5, c.raw); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+// No bytes crash the reader, and what it takes an exchange can take as well.
+func FuzzRead(f *testing.F) {
+	f.Add(Beacon(5, sample))
+	f.Add(Knowledge(5, state()))
+	f.Add([]byte{0x09, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, list, err := Read(5, raw)
+		if err != nil {
+			return
+		}
+		x := shares.NewExchange(shares.Settings{Period: 1, Staleness: 4}, "b", 2, []shares.Tenant{{Name: "t", ID: 4, Quota: 1}}, 0)
+		x.Book.Members(0, []string{"a"})
+		if m != nil {
+			x.Hear(0, m)
+		}
+		x.Learn(0, list)
+		x.Round(1)
+		for _, s := range x.Book.Slices(1, nil) {
+			if s > shares.Whole {
+				t.Fatalf("slice %d", s)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/service/commands.go
@@ -0,0 +1,105 @@
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"example.org/bellstream/internal/operator"
+	"example.org/bellstream/internal/peers"
+	"example.org/bellstream/internal/settings"
+)
+
+// Check reads an operator's file and says what it promises, or why it can't be
+// used. With a platform's configuration it checks the promises against that.
+func Check(out io.Writer, file, config string) error {
+	f, err := operator.Load(file)
+	if err != nil {
+		return err
+	}
+	if config != "" {
+		conf, err := settings.Load(config)
+		if err != nil {
+			return err
+		}
+		for _, w := range operator.Warnings(conf.Settings) {
+			fmt.Fprintf(out, "%s: warning: %s\n", config, w)
+		}
+		if f.Peers != nil {
+			s, b, err := f.Fit(max(conf.Settings.Balancers, 1), Tenants(conf.Settings))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "counts: %d instances expected, news within %.2f s, a tenant's share within %.1f%% in 10 s, "+
+				"moves within %.1f s, loans end within %.1f s\n", s.Instances, b.News, b.Share*100, b.Move, b.Ends)
+		}
+	}
+	fmt.Fprintf(out, "%s: in order\n", file)
+	return nil
+}
+
+// ShowPeers prints the cluster as an instance sees it, from its admin listener.
+func ShowPeers(out io.Writer, address, file string, raw bool) error {
+	if address == "" {
+		if file == "" {
+			return fmt.Errorf("peers: name the admin listener by --admin, or a file that has one by --file")
+		}
+		f, err := operator.Load(file)
+		if err != nil {
+			return err
+		}
+		if f.Admin == nil {
+			return fmt.Errorf("%s: there is no admin block", file)
+		}
+		address = f.Admin.Listen
+	}
+	client := http.Client{Timeout: 3 * time.Second}
+	resp, err := client.Get("http://" + address + "/peers")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("peers: %s: %s", resp.Status, body)
+	}
+	if raw {
+		_, err = out.Write(body)
+		return err
+	}
+	var s peers.Status
+	if err := json.Unmarshal(body, &s); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "%s of %s\tat %s\tincarnation %d\thome 1/%d\tjoined %v\n\n", s.Name, s.Cluster, s.Listen, s.Incarnation, s.Size, s.Joined)
+	fmt.Fprintf(w, "PEER\tSEEN\tHEARD\tHEARS US\tAGREES\tSAME TENANTS\tLENT TO\tBORROWED\n")
+	for _, p := range s.Peers {
+		age := "never"
+		if p.Age >= 0 {
+			age = fmt.Sprintf("%.1f s ago", p.Age)
+		}
+		fmt.Fprintf(w, "%s\t%v\t%s\t%v\t%v\t%v\t%d\t%d\n", p.Name, p.Present, age, p.Echoes, p.Agrees, p.Table, p.Lent, p.Borrows)
+	}
+	fmt.Fprintf(w, "\nTENANT\tRESERVED\tHERE\tSTARTED BY ALL\tHERE\n")
+	for _, t := range s.Tenants {
+		fmt.Fprintf(w, "%s\t%.1f/s\t%.1f%%\t%.0f\t%.0f\n", t.Name, t.Quota, t.Slice*100, t.Net, t.Mine)
+	}
+	var reasons []string
+	for r := range s.Drops {
+		reasons = append(reasons, r)
+	}
+	slices.Sort(reasons)
+	for _, r := range reasons {
+		fmt.Fprintf(w, "\ndropped\t%d\t%s", s.Drops[r], r)
+	}
+	fmt.Fprintln(w)
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/service/parts.go
@@ -0,0 +1,167 @@
+package service
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/admin"
+	"example.org/bellstream/internal/counts"
+	"example.org/bellstream/internal/dispatcher"
+	"example.org/bellstream/internal/operator"
+	"example.org/bellstream/internal/peers"
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/shares"
+)
+
+// parts are the subsystems that run. There are none without an operator's file.
+type parts struct {
+	list []subsystem
+	loop atomic.Pointer[dispatcher.Dispatcher]
+}
+
+// build constructs what the operator's file names, and gives the loop's options
+// what the loop has to call.
+func build(op *operator.File, conf *settings.Instance, log zerolog.Logger, o *dispatcher.Options) (*parts, error) {
+	p := &parts{}
+	if op == nil {
+		return p, nil
+	}
+	var show *admin.Server
+	if op.Admin != nil {
+		var err error
+		if show, err = admin.New(op.Admin.Listen); err != nil {
+			return nil, fmt.Errorf("admin: %w", err)
+		}
+		phases := o.Phases
+		show.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bellstream_phase",
+			Help: "0 starting, 1 serving, 2 retiring, 3 draining, 4 closing, 5 stopped."},
+			func() float64 { return float64(phases.Now()) }))
+		p.list = append(p.list, adminPart{show})
+	}
+	if op.Peers != nil {
+		n, err := newPeers(op, conf, log, p.share)
+		if err != nil {
+			p.close()
+			return nil, err
+		}
+		o.Counter = n
+		p.list = append(p.list, peersPart{n})
+		if show != nil {
+			show.Registry.MustRegister(n.Collector())
+			show.JSON("/peers", func() any { return n.Status() })
+			show.JSON("/counts", func() any { return n.Counts() })
+		}
+	} else if show != nil {
+		show.JSON("/peers", func() any { return nil })
+	}
+	if show != nil {
+		show.Start()
+		log.Info().Msgf("admin listens on %s", show.Addr())
+	}
+	return p, nil
+}
+
+// share hands news to the loop once it is there.
+func (p *parts) share(news []balance.Share) {
+	if d := p.loop.Load(); d != nil {
+		d.Share(news)
+	}
+}
+
+func (p *parts) bind(d *dispatcher.Dispatcher) { p.loop.Store(d) }
+
+func (p *parts) leave() {
+	for _, s := range p.list {
+		s.Leave()
+	}
+}
+
+func (p *parts) close() {
+	for i := len(p.list) - 1; i >= 0; i-- {
+		p.list[i].Close()
+	}
+	p.list = nil
+}
+
+// reload reads the operator's file again. One that can't be used changes nothing.
+func (p *parts) reload(file string, log zerolog.Logger) {
+	next, err := operator.Load(file)
+	if err != nil {
+		log.Error().Msgf("reload: the old operator's file stays in force: %v", err)
+		return
+	}
+	for _, s := range p.list {
+		if err := s.Reload(next); err != nil {
+			log.Error().Msgf("reload: %v", err)
+		}
+	}
+}
+
+type adminPart struct{ *admin.Server }
+
+func (adminPart) Reload(*operator.File) error { return nil }
+func (adminPart) Leave()                      {}
+
+type peersPart struct{ *peers.Node }
+
+// Reload takes other keys into use; all else is for the next start.
+func (p peersPart) Reload(f *operator.File) error {
+	if f.Peers == nil || f.Peers.KeyFile == "" {
+		return p.Rotate(nil)
+	}
+	keys, err := operator.Keys(f.Peers.KeyFile)
+	if err != nil {
+		return err
+	}
+	return p.Rotate(keys)
+}
+
+// Tenants are those of the settings that have a reservation to share.
+func Tenants(s *settings.Settings) (list []shares.Tenant) {
+	for _, t := range s.Config().Tenants {
+		list = append(list, shares.Tenant{Name: t.Name, ID: counts.ID(t.Name, t.Quota, t.Weight), Quota: t.Quota})
+	}
+	return list
+}
+
+// newPeers joins the cluster that the file names.
+func newPeers(op *operator.File, conf *settings.Instance, log zerolog.Logger, tell func([]balance.Share)) (*peers.Node, error) {
+	tenants := Tenants(conf.Settings)
+	s, stated, err := op.Fit(max(conf.Settings.Balancers, 1), tenants)
+	if err != nil {
+		return nil, err
+	}
+	p := op.Peers
+	o := peers.Options{Name: p.Name, Listen: p.Listen, Advertise: p.Advertise, Join: p.Join, Cluster: p.Cluster, Settings: s,
+		Tenants: tenants, Exchange: op.Counts == nil || op.Counts.Exchange == nil || *op.Counts.Exchange,
+		Incarnation: incarnation(time.Now(), rand.Uint64()), Log: log, Now: time.Now, Tell: tell}
+	if o.Name == "" {
+		o.Name = conf.Name
+	}
+	if p.KeyFile != "" {
+		if o.Keys, err = operator.Keys(p.KeyFile); err != nil {
+			return nil, err
+		}
+	}
+	n, err := peers.New(o)
+	if err != nil {
+		return nil, err
+	}
+	log.Info().Str("cluster", p.Cluster).Str("name", o.Name).Int("instances", s.Instances).Float64("news_s", stated.News).
+		Float64("share_error", stated.Share).Float64("move_s", stated.Move).Float64("loans_end_s", stated.Ends).
+		Msgf("peers listens on %s; these are the stated errors", n.Addr())
+	return n, nil
+}
+
+// incarnation is a number that grows from start to start and that no two
+// starts share: milliseconds, then 20 random bits. The clock is only ever
+// compared with earlier starts under the same name.
+func incarnation(now time.Time, random uint64) uint64 {
+	return uint64(now.UnixMilli())<<20 | random&(1<<20-1)
+}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -293,9 +293,8 @@
 	var to []string
 	for range min(b.Fanout, len(b.order)) {
 		b.turn = (b.turn + 1) % len(b.order)
-		if p := b.peers[b.order[b.turn]]; p.present {
-			to = append(to, p.name)
-		}
+		// Also to those that membership does not see: a cut may be over before it notices.
+		to = append(to, b.order[b.turn])
 	}
 	return to
 }
