--- /dev/null
+++ b/internal/lab/countslarge.go
@@ -0,0 +1,257 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"example.org/bellstream/internal/counts"
+	"example.org/bellstream/internal/peers/wire"
+	"example.org/bellstream/internal/shares"
+	"example.org/bellstream/internal/virtual"
+)
+
+var countsLarge = Experiment{
+	Name:    "counts-large",
+	About:   "The same exchange in virtual time: 10, 50 and 200 instances, 1,000 tenants, churn, 10% loss.",
+	Without: []string{"exchange"},
+	Run:     runCountsLarge,
+}
+
+// largeRun is what one size gives.
+type largeRun struct {
+	over      float64 // of the sum of slices, beyond the whole, at worst
+	reached   float64 // of the smaller of demand and reservation, over settled tenants: the 1st percentile
+	median    float64
+	bytes     float64 // a second and instance
+	converged float64 // s until all counts are alike after traffic ends
+	double    float64 // slots counted that nobody started
+}
+
+func runCountsLarge(p Params) (*Result, error) {
+	sizes, tenants, span, period := []int{10, 50, 200}, 1000, 90.0, 0.5
+	if p.Quick {
+		sizes, tenants, span, period = []int{10, 50, 100}, 200, 40, 0.25
+	}
+	r := &Result{}
+	var worst largeRun
+	worst.reached = math.Inf(1)
+	set := func(n int) shares.Settings {
+		s := shares.Settings{Period: period, Floor: 0.02, Instances: n, Delay: 0.05, Loss: 0.1}
+		s.Staleness = s.Bounds(n, 20, 10).News + s.Delay + 2*period + 2
+		if p.Without == "exchange" {
+			s.Staleness = 0 // no loan is ever worth anything
+		}
+		return s
+	}
+	var news float64
+	runs := make([]largeRun, len(sizes))
+	var all sync.WaitGroup
+	for i, n := range sizes { // each in its own time: side by side they stay the same
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			began := time.Now()
+			runs[i] = playLarge(p.Seed, set(n), n, tenants, span)
+			p.Log("%d instances, %d tenants: %+v in %.1f s", n, tenants, runs[i], time.Since(began).Seconds())
+		}()
+	}
+	all.Wait()
+	for i, n := range sizes {
+		x, b := runs[i], set(n).Bounds(n, 20, 10)
+		r.Note(fmt.Sprintf("%d instances: bytes a second and instance", n), x.bytes, "B/s")
+		r.Note(fmt.Sprintf("%d instances: counts alike after", n), x.converged, "s")
+		r.Note(fmt.Sprintf("%d instances: stated time of news", n), b.News, "s")
+		r.Note(fmt.Sprintf("%d instances: share of the needed reservation, median", n), x.median, "part")
+		r.Note(fmt.Sprintf("%d instances: the same, 1st percentile", n), x.reached, "part")
+		r.Note(fmt.Sprintf("%d instances: today's way, M/N over the 3 where a tenant enters", n), math.Min(1, 3/float64(n)), "part")
+		worst.over, worst.double = max(worst.over, x.over), max(worst.double, x.double)
+		worst.reached, worst.bytes = min(worst.reached, x.reached), max(worst.bytes, x.bytes)
+		worst.converged = max(worst.converged, x.converged-10-2*b.News)
+		news = b.News
+	}
+	largest := sizes[len(sizes)-1]
+	r.Size = fmt.Sprintf("up to %d instances, %d tenants, %.0f s, churn 5%% a minute, 10%% loss", largest, tenants, span)
+	r.AtMost("the sum of all slices passes the reservation by", 0, worst.over, "part")
+	r.AtLeast("a settled tenant has where it enters, of what it needs of its reservation, 1st percentile", 0.9, worst.reached, "part")
+	r.AtMost("slots counted that nobody started", 0, worst.double, "slots")
+	r.AtMost("bytes a second and instance", 256<<10, worst.bytes, "B/s")
+	r.AtMost("counts are alike after traffic ends, beyond 10 s for full exchanges and twice the news", 0, worst.converged, "s")
+	r.Note("stated time of news at the largest", news, "s")
+	r.Note("ideal that sees all: of what is needed", 1, "part")
+	return r, nil
+}
+
+// playLarge plays a cluster in which each tenant enters through three
+// instances and asks for 0.9 of its reservation there, until its instances
+// die, come back, or it moves.
+func playLarge(seed uint64, set shares.Settings, n, tenants int, span float64) (x largeRun) {
+	const quota, step = 20.0, 0.25
+	c := virtual.New(seed, set, virtual.Net{Loss: 0.1, Repeat: 0.02, Delay: 0.05, Detect: 3, Learn: 5}, virtual.Table(tenants, quota))
+	c.Size = wire.Size
+	ids := map[uint64]int{} // in the order of slices
+	order := make([]uint64, 0, tenants)
+	for _, t := range c.Tenants {
+		order = append(order, t.ID)
+	}
+	sort.Slice(order, func(i, k int) bool { return order[i] < order[k] })
+	for i, id := range order {
+		ids[id] = i
+	}
+	nodes := make([]*virtual.Instance, n)
+	for i := range n {
+		nodes[i] = c.Start(fmt.Sprintf("n%03d", i), 0)
+	}
+	enters, since := make([][]int, tenants), make([]float64, tenants)
+	move := func(t int) {
+		enters[t], since[t] = []int{c.Rand.IntN(n), c.Rand.IntN(n), c.Rand.IntN(n)}, c.Now
+	}
+	for t := range tenants {
+		move(t)
+	}
+	truth := make([]uint64, tenants) // milli-slots started, and known to survive
+	var traffic func()
+	running := true
+	traffic = func() {
+		if !running {
+			return
+		}
+		for t, where := range enters {
+			for _, i := range where {
+				if !nodes[i].Up {
+					continue
+				}
+				for range virtual.Poisson(c.Rand, quota*0.3*step) {
+					nodes[i].Meter.Asked(c.Tenants[t].Name)
+					nodes[i].Meter.Start(c.Tenants[t].Name, 1)
+					truth[t] += counts.Unit
+				}
+			}
+		}
+		c.After(step, traffic)
+	}
+	c.After(0, traffic)
+	churn := func() {}
+	churn = func() { // 5% a minute die and come back after a while, with no memory
+		if !running {
+			return
+		}
+		i := c.Rand.IntN(n)
+		in := nodes[i]
+		if in.Up {
+			c.Kill(in)
+			for t, where := range enters {
+				for _, k := range where {
+					if k == i {
+						since[t] = c.Now
+					}
+				}
+			}
+			c.After(2+4*c.Rand.Float64(), func() {
+				for k, o := range c.All {
+					if o == in {
+						c.All = append(c.All[:k], c.All[k+1:]...)
+						break
+					}
+				}
+				nodes[i] = c.Start(in.Name, 0)
+				for t, where := range enters {
+					for _, k := range where {
+						if k == i {
+							since[t] = c.Now
+						}
+					}
+				}
+			})
+		}
+		move(c.Rand.IntN(tenants))
+		c.After(60/(0.05*float64(n)), churn)
+	}
+	c.After(10, churn)
+	var uses []uint64
+	var parts []float64
+	b := set.Bounds(n, quota, 10)
+	settled := b.Move + 8 // demand is believed for some seconds more, and what dies keeps its part for a lease
+	look := func() {
+		uses = c.Uses(uses)
+		for _, u := range uses {
+			x.over = max(x.over, float64(u)/shares.Whole-1)
+		}
+		if c.Now < set.Staleness+settled {
+			return
+		}
+		for t, where := range enters {
+			if c.Now-since[t] < settled+set.Staleness {
+				continue
+			}
+			has, need := 0.0, 0.0
+			for k, i := range where {
+				need += 0.3
+				if seen := where[:k]; len(nodes[i].Slices) > 0 && !contains(seen, i) {
+					has += float64(nodes[i].Slices[ids[c.Tenants[t].ID]]) / shares.Whole
+				}
+			}
+			parts = append(parts, min(1, has/need))
+		}
+	}
+	for c.Now < span {
+		c.Run(min(span, c.Now+1), nil)
+		look()
+	}
+	for _, in := range c.All {
+		x.bytes += in.Bytes / float64(len(c.All)) / span
+	}
+	running = false
+	ended := c.Now
+	for c.Now < ended+60 {
+		c.Run(c.Now+0.25, nil)
+		if alike(c, order) {
+			break
+		}
+	}
+	x.converged = c.Now - ended
+	for t, tn := range c.Tenants {
+		for _, in := range c.All {
+			if in.Up {
+				x.double = max(x.double, float64(int64(in.Set.Snapshot().Total(tn.ID).Starts)-int64(truth[t]))/counts.Unit)
+			}
+		}
+	}
+	sort.Float64s(parts)
+	if len(parts) > 0 {
+		x.reached, x.median = parts[len(parts)/100], parts[len(parts)/2]
+	}
+	return x
+}
+
+func contains(list []int, x int) bool {
+	for _, v := range list {
+		if v == x {
+			return true
+		}
+	}
+	return false
+}
+
+// alike says that all instances that are up count the same.
+func alike(c *virtual.Cluster, ids []uint64) bool {
+	var first counts.Column
+	for _, in := range c.All {
+		if !in.Up {
+			continue
+		}
+		got := in.Set.Snapshot().Totals()
+		if first == nil {
+			first = got
+			continue
+		}
+		for _, id := range ids {
+			if got.At(id) != first.At(id) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,191 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Job is one job as a worker saw it.
+type Job struct {
+	At         time.Time // when it was taken
+	Started    time.Time // when it got a slot; zero: it was called off before
+	ID, Worker string
+	Tenant     string
+	Entry      string // the dispatcher that the client asked
+}
+
+// Fleet emulates zone workers and discovery on loopback, after the protocol:
+// slots with a queue, load reports with answers and probes. It keeps a record
+// of every job that a worker took.
+type Fleet struct {
+	Slots int
+	Mean  time.Duration // of a job's work, exponential
+
+	mu      sync.Mutex
+	jobs    []Job
+	rng     *rand.Rand
+	workers []*emulated
+	disc    net.Listener
+	servers []*http.Server
+}
+
+type emulated struct {
+	f       *Fleet
+	name    string
+	addr    string
+	free    chan struct{}
+	mu      sync.Mutex
+	waiting int
+}
+
+// NewFleet starts so many workers and a discovery that knows them.
+func NewFleet(seed uint64, workers, slots int, mean time.Duration) (*Fleet, error) {
+	f := &Fleet{Slots: slots, Mean: mean, rng: rand.New(rand.NewPCG(seed, 0xf1ee7))}
+	for i := range workers {
+		w := &emulated{f: f, name: fmt.Sprintf("w-%02d", i), free: make(chan struct{}, slots)}
+		for range slots {
+			w.free <- struct{}{}
+		}
+		l, err := f.serve(w)
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		w.addr = l.Addr().String()
+		f.workers = append(f.workers, w)
+	}
+	l, err := f.serve(http.HandlerFunc(f.discovery))
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	f.disc = l
+	return f, nil
+}
+
+func (f *Fleet) serve(h http.Handler) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &http.Server{Handler: h}
+	f.servers = append(f.servers, s)
+	go s.Serve(l)
+	return l, nil
+}
+
+// Close ends the fleet.
+func (f *Fleet) Close() {
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+// Discovery is where discovery listens.
+func (f *Fleet) Discovery() string { return f.disc.Addr().String() }
+
+// Jobs are the records so far.
+func (f *Fleet) Jobs() []Job {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Job(nil), f.jobs...)
+}
+
+// Taken counts the jobs that were taken, by tenant.
+func (f *Fleet) Taken() map[string]int {
+	n := map[string]int{}
+	for _, j := range f.Jobs() {
+		n[j.Tenant]++
+	}
+	return n
+}
+
+// List is the route table in discovery's form.
+func (f *Fleet) List() string {
+	var hosts []string
+	for _, w := range f.workers {
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","class":"k","block":0,"health":"active","share":1.0,"born_ms":0}`, w.name, w.addr))
+	}
+	return fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[%s]}`, strings.Join(hosts, ","))
+}
+
+func (f *Fleet) discovery(w http.ResponseWriter, r *http.Request) {
+	fmt.Fprintln(w, f.List())
+	if r.URL.Query().Get("stream") == "" {
+		return
+	}
+	for r.Context().Err() == nil {
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(2 * time.Second):
+			io.WriteString(w, "\n")
+		}
+	}
+}
+
+func (w *emulated) load() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprintf(`{"x0":%d,"waiting":%d}`, len(w.free), w.waiting)
+}
+
+// ServeHTTP takes a job, or a probe.
+func (w *emulated) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		fmt.Fprint(out, w.load())
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
+	if err != nil {
+		return
+	}
+	tenant, entry, _ := strings.Cut(string(body), " ")
+	id := r.Header.Get("Request-Id")
+	w.mu.Lock()
+	if w.waiting >= 2*w.f.Slots {
+		w.mu.Unlock()
+		out.Header().Set("Not-Started", "1")
+		out.Header().Set("Server-Load", w.load())
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.waiting++
+	w.mu.Unlock()
+	w.f.mu.Lock()
+	nth := len(w.f.jobs)
+	w.f.jobs = append(w.f.jobs, Job{At: time.Now(), ID: id, Worker: w.name, Tenant: tenant, Entry: entry})
+	work := time.Duration(w.f.rng.ExpFloat64() * float64(w.f.Mean))
+	w.f.mu.Unlock()
+	say := func(state, more string) {
+		fmt.Fprintf(out, `{"id":%q,"from":%q,"state":%q%s}`+"\n", id, w.name, state, more)
+		out.(http.Flusher).Flush()
+	}
+	out.(http.Flusher).Flush()
+	left := func() { w.mu.Lock(); w.waiting--; w.mu.Unlock() }
+	select {
+	case <-w.free:
+		left()
+	case <-r.Context().Done():
+		left()
+		return
+	}
+	w.f.mu.Lock()
+	w.f.jobs[nth].Started = time.Now()
+	w.f.mu.Unlock()
+	say("started", "")
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+	}
+	w.free <- struct{}{}
+	result, _ := json.Marshal(id)
+	say("done", fmt.Sprintf(`,"result":%s,"load":%s`, result, w.load()))
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,141 @@
+// Package lab is the project's laboratory: experiments on real processes over
+// loopback or in virtual time, each with claims that were stated in advance and
+// are measured from outside, by the workers' and the clients' own records.
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Claim is one promise and what was measured.
+type Claim struct {
+	Name     string  `json:"name"`
+	Bound    float64 `json:"bound"`
+	Measured float64 `json:"measured"`
+	Unit     string  `json:"unit"`
+	Held     bool    `json:"held"`
+}
+
+// Beside is a figure that stands beside a claim: today's way, or an ideal.
+type Beside struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+}
+
+// Result is what an experiment found.
+type Result struct {
+	Experiment string   `json:"experiment"`
+	Seed       uint64   `json:"seed"`
+	Size       string   `json:"size"`
+	Claims     []Claim  `json:"claims"`
+	Held       bool     `json:"held"`
+	Beside     []Beside `json:"beside,omitempty"`
+}
+
+// AtLeast claims that a figure is no smaller than its bound.
+func (r *Result) AtLeast(name string, bound, measured float64, unit string) {
+	r.Claims = append(r.Claims, Claim{name, bound, measured, unit, measured >= bound})
+}
+
+// AtMost claims that a figure is no larger than its bound. What is no figure holds nothing.
+func (r *Result) AtMost(name string, bound, measured float64, unit string) {
+	r.Claims = append(r.Claims, Claim{name, bound, measured, unit, measured <= bound})
+}
+
+// Note puts a figure beside the claims.
+func (r *Result) Note(name string, value float64, unit string) {
+	r.Beside = append(r.Beside, Beside{name, value, unit})
+}
+
+// Params are what an experiment is run with.
+type Params struct {
+	Seed    uint64
+	Quick   bool   // ends within 50 s
+	Without string // the mechanism to switch off
+	Out     string // folder for logs; empty: a temporary one, removed
+	Program string // bin/bellstream
+	Log     func(format string, args ...any)
+}
+
+// Experiment is one of the laboratory's.
+type Experiment struct {
+	Name, About string
+	Without     []string // what can be switched off
+	Run         func(p Params) (*Result, error)
+}
+
+// Experiments are all there are.
+var Experiments = []Experiment{countsExperiment, countsLarge}
+
+// Find returns an experiment by name.
+func Find(name string) *Experiment {
+	for i := range Experiments {
+		if Experiments[i].Name == name {
+			return &Experiments[i]
+		}
+	}
+	return nil
+}
+
+// Play runs an experiment and judges its claims.
+func (e *Experiment) Play(p Params) (*Result, error) {
+	if p.Without != "" && !slices.Contains(e.Without, p.Without) {
+		return nil, fmt.Errorf("%s can be run without %v, not without %q", e.Name, e.Without, p.Without)
+	}
+	if p.Log == nil {
+		p.Log = func(string, ...any) {}
+	}
+	if p.Program == "" {
+		if self, err := os.Executable(); err == nil {
+			p.Program = filepath.Join(filepath.Dir(self), "bellstream")
+		}
+	}
+	if p.Out == "" {
+		dir, err := os.MkdirTemp("", "bellstream-lab-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		p.Out = dir
+	} else if err := os.MkdirAll(p.Out, 0o755); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	r, err := e.Run(p)
+	if err != nil {
+		return nil, err
+	}
+	r.Experiment, r.Seed, r.Held = e.Name, p.Seed, len(r.Claims) > 0
+	for _, c := range r.Claims {
+		r.Held = r.Held && c.Held
+	}
+	p.Log("%s took %.1f s", e.Name, time.Since(began).Seconds())
+	return r, nil
+}
+
+// Print writes a result for people, or as JSON.
+func (r *Result) Print(w io.Writer, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(w).Encode(r)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "%s, seed %d, %s\n\nCLAIM\tBOUND\tMEASURED\tUNIT\tHELD\n", r.Experiment, r.Seed, r.Size)
+	for _, c := range r.Claims {
+		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%s\t%v\n", c.Name, c.Bound, c.Measured, c.Unit, c.Held)
+	}
+	if len(r.Beside) > 0 {
+		fmt.Fprintf(t, "\nBESIDE\tVALUE\tUNIT\n")
+		for _, b := range r.Beside {
+			fmt.Fprintf(t, "%s\t%.4g\t%s\n", b.Name, b.Value, b.Unit)
+		}
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/lab/process.go
@@ -0,0 +1,119 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Dispatcher is one process of the real program.
+type Dispatcher struct {
+	Name, Addr, Admin string
+	Config, File      string
+	program, log      string
+	cmd               *exec.Cmd
+	ended             chan error
+}
+
+// freePort is a TCP port of an address that is free now.
+func freePort(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// NewDispatcher writes a dispatcher's files; Start starts it.
+func NewDispatcher(program, dir, name, config, file string) (*Dispatcher, error) {
+	d := &Dispatcher{Name: name, program: program, Config: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log")}
+	if err := os.WriteFile(d.Config, []byte(config), 0o600); err != nil {
+		return nil, err
+	}
+	if file != "" {
+		d.File = filepath.Join(dir, name+".hcl")
+		if err := os.WriteFile(d.File, []byte(file), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// Start starts the process and waits until it serves.
+func (d *Dispatcher) Start() error {
+	log, err := os.OpenFile(d.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	d.cmd = exec.Command(d.program)
+	d.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+d.Config, "BELLSTREAM_FILE="+d.File)
+	d.cmd.Stderr = log
+	// It must not outlive the laboratory, however that ends.
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := d.cmd.Start(); err != nil {
+		return err
+	}
+	d.ended = make(chan error, 1)
+	go func(cmd *exec.Cmd, ended chan error) { ended <- cmd.Wait() }(d.cmd, d.ended)
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		select {
+		case err := <-d.ended:
+			return fmt.Errorf("%s ended at its start (%v): see %s", d.Name, err, d.log)
+		default:
+		}
+		if resp, err := http.Get("http://" + d.Addr + "/healthz"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("%s does not serve after 10 s: see %s", d.Name, d.log)
+}
+
+// Kill ends the process at once.
+func (d *Dispatcher) Kill() {
+	if d.cmd != nil && d.cmd.Process != nil {
+		d.cmd.Process.Kill()
+		<-d.ended
+		d.cmd = nil
+	}
+}
+
+// Stop ends it in good order and returns how long that took.
+func (d *Dispatcher) Stop() time.Duration {
+	if d.cmd == nil {
+		return 0
+	}
+	began := time.Now()
+	d.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-d.ended:
+	case <-time.After(6 * time.Second):
+		d.cmd.Process.Kill()
+		<-d.ended
+	}
+	d.cmd = nil
+	return time.Since(began)
+}
+
+// Ask reads JSON from the admin listener.
+func (d *Dispatcher) Ask(path string, into any) error {
+	resp, err := http.Get("http://" + d.Admin + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s: %s", d.Admin, path, resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -298,7 +298,7 @@
 		}
 		if m != nil {
 			n.heardOne()
-			if err := n.x.Hear(n.clock(), m); err != nil {
+			if err := n.x.Hear(n.clock(), m); err != nil && !errors.Is(err, shares.ErrOld) { // these are in the nature of datagrams
 				n.limit.Do("hear", func(int) { n.Log.Warn().Msgf("peers: %v", err) })
 			}
 		}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -146,6 +147,8 @@
 	quick, slow []float64
 	need        []uint32
 	lent        []uint32 // to all, by tenant
+	lack        []uint64 // what all peers need beyond a home, by tenant
+	digest      uint64   // of the view
 	base        []int64  // counted elsewhere as of the last look
 	based       bool
 	drops       map[string]uint64
@@ -166,7 +169,8 @@
 	}
 	n := len(b.tenants)
 	b.asked, b.quick, b.slow = make([]uint64, n), make([]float64, n), make([]float64, n)
-	b.need, b.lent = make([]uint32, n), make([]uint32, n)
+	b.need, b.lent, b.lack = make([]uint32, n), make([]uint32, n), make([]uint64, n)
+	b.sort()
 	return b
 }
 
@@ -203,6 +207,10 @@
 		b.order = append(b.order, n)
 	}
 	slices.Sort(b.order)
+	b.digest = xxhash.Sum64String(b.name)
+	for _, n := range b.order {
+		b.digest ^= xxhash.Sum64String(n)
+	}
 }
 
 // Forgotten drops an instance that will not come back.
@@ -212,13 +220,7 @@
 }
 
 // view is the digest of the instances that count, this one among them.
-func (b *Book) view() uint64 {
-	v := xxhash.Sum64String(b.name)
-	for _, n := range b.order {
-		v ^= xxhash.Sum64String(n)
-	}
-	return v
-}
+func (b *Book) view() uint64 { return b.digest }
 
 // Size is how many homes a reservation is divided into.
 func (b *Book) Size(now float64) int {
@@ -290,6 +292,7 @@
 	}
 	b.look(now)
 	b.join(now)
+	b.lacks(now)
 	var to []string
 	for range min(b.Fanout, len(b.order)) {
 		b.turn = (b.turn + 1) % len(b.order)
@@ -357,6 +360,22 @@
 	}
 }
 
+// lacks adds up what all that were heard of late need beyond their homes.
+func (b *Book) lacks(now float64) {
+	clear(b.lack)
+	home := b.Home(now)
+	for _, p := range b.peers {
+		if now-p.heard >= b.Staleness {
+			continue
+		}
+		for t, need := range p.needs {
+			if need > home {
+				b.lack[b.index[t]] += uint64(need - home)
+			}
+		}
+	}
+}
+
 // back puts the rows of a lost message in line again.
 func (p *peer) back(m *sent) {
 	if !m.lost && !m.taken {
@@ -497,17 +516,12 @@
 		if !ok || need <= home {
 			continue
 		}
-		lack := 0.0
-		for _, o := range b.peers {
-			if now-o.heard < b.Staleness {
-				lack += float64(o.needs[t] - min(o.needs[t], home))
-			}
-		}
 		keep := max(b.need[i], uint32(float64(home)*b.Floor)+1)
 		if keep >= home {
 			continue
 		}
 		mine := float64(need - home)
+		lack := max(float64(b.lack[i]), mine) // it may have spoken since
 		share := uint32(min(float64(home-keep)*mine/lack, mine))
 		// What others hold, or may still hold, can't be lent again.
 		others := b.lent[i] - min(p.lent[t], b.lent[i])
@@ -536,12 +550,17 @@
 	Malformed = "malformed"
 )
 
-// Hear takes in a message. It returns whether the sender is new or was away,
-// and why the message was dropped, if it was. What it says of counts is the
+// ErrOld says that a message came twice, or after a later one.
+var ErrOld = errors.New(Old)
+
+// Hear takes in a message. It returns why the message was dropped, if it was. What it says of counts is the
 // caller's to merge, also when it is old: counts do not mind.
 func (b *Book) Hear(now float64, m *Message) error {
 	if why := b.hear(now, m); why != "" {
 		b.drops[why]++
+		if why == Old {
+			return ErrOld
+		}
 		return fmt.Errorf("message from %s: %s", m.From, why)
 	}
 	return nil
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -43,6 +43,7 @@
 	Net
 	Now     float64
 	All     []*Instance
+	byName  map[string]*Instance
 	Tenants []shares.Tenant
 	Set     shares.Settings
 	Rand    *rand.Rand
@@ -50,7 +51,6 @@
 	Lives   uint64
 	queue   events
 	n       int
-	Lost    map[string]uint64 // told to nobody before its instance died, by tenant
 }
 
 type event struct {
@@ -76,7 +76,7 @@
 
 // New makes a cluster with no instance.
 func New(seed uint64, set shares.Settings, net Net, tenants []shares.Tenant) *Cluster {
-	return &Cluster{Net: net, Set: set, Tenants: tenants, Rand: rand.New(rand.NewPCG(seed, 0xbe11))}
+	return &Cluster{Net: net, Set: set, Tenants: tenants, byName: map[string]*Instance{}, Rand: rand.New(rand.NewPCG(seed, 0xbe11))}
 }
 
 // After has something done some seconds from now.
@@ -104,6 +104,7 @@
 	in := &Instance{Name: name, Clock: clock, Up: true, changed: c.Now}
 	in.Exchange = shares.NewExchange(c.Set, name, c.Lives, c.Tenants, in.clock(c))
 	c.All = append(c.All, in)
+	c.byName[name] = in
 	c.After(c.Rand.Float64()*c.Set.Period, func() { c.round(in) })
 	if c.Learn > 0 {
 		c.After(c.Rand.Float64()*c.Learn, func() { c.learn(in) })
@@ -181,14 +182,12 @@
 			late = c.Rand.Float64() * 20
 		}
 		c.After(late, func() {
-			for _, o := range c.All {
-				if o.Name == m.To && o.Up && c.reach(in, o) {
-					if c.Now < o.Frozen {
-						o.inbox = append(o.inbox, m)
-						continue
-					}
-					o.Hear(o.clock(c), m)
-				}
+			switch o := c.byName[m.To]; {
+			case o == nil || !o.Up || !c.reach(in, o):
+			case c.Now < o.Frozen:
+				o.inbox = append(o.inbox, m)
+			default:
+				o.Hear(o.clock(c), m)
 			}
 		})
 	}
