--- a/Makefile
+++ b/Makefile
@@ -16,15 +16,19 @@
 	go test -run '^$$' -fuzz FuzzHops -fuzztime $(FUZZTIME) ./internal/egress
 	go test -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZTIME) ./internal/dispatcher
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/route
+	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./internal/peers/wire
 
 lint:
 	test -z "$$(gofmt -l balance cmd internal)"
 	go vet ./...
 
+generate:
+	go generate ./...
+
 run: build
 	RELAY_CONFIG=$(CONFIG) bin/bellstream
 
 check:
 	.ci/run
 
-.PHONY: build test race fuzz lint run check
+.PHONY: build test race fuzz lint generate run check
--- /dev/null
+++ b/deploy/bellstream.hcl
@@ -0,0 +1,36 @@
+# The operator's file, with what may stand in it. Start with
+#   BELLSTREAM_FILE=deploy/bellstream.hcl bin/bellstream
+# and check with
+#   bin/bellstream check --config config.json deploy/bellstream.hcl
+# Every block may be left out; what it would switch on is off then.
+
+log {
+  level  = "info" # debug, info, warn, error
+  format = "json" # json, or console for people
+}
+
+# Metrics and state for operators: GET /metrics, /peers, /counts.
+admin {
+  listen = "127.0.0.1:9090"
+}
+
+# The cluster: instances that hold tenants' reservations together.
+peers {
+  cluster = "example"
+  # name    = "n1"              # default: the instance's name
+  listen = "127.0.0.1:7946" # UDP and TCP
+  # advertise = "192.0.2.1:7946" # where others reach it; default: listen
+  join = ["127.0.0.1:7946", "127.0.0.1:7947"]
+  # key_file = "/etc/bellstream/keys" # a key a line, base64; the first is written with
+  period = "250ms" # between rounds of messages
+}
+
+counts {
+  instances = 2       # that are expected; no fewer than may start at the same time
+  staleness = "4s"    # loans of a silent instance end by then
+  floor     = 0.02    # part of its home that an instance never lends
+  forget    = "2m"    # then a silent instance counts as gone; longer than any partition
+  delay     = "50ms"  # of a message, one way, at most
+  loss      = 0.1     # part of the messages that the network loses
+  max_error = 0.25    # of a tenant's share in 10 s; refused if it can't be met
+}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -35,8 +35,17 @@
 	probes []func(egress.News)
 
 	watches chan watchModel
+	ran     float64 // hops that were started and not proved unrun
+	counted counterModel
 }
 
+// counterModel adds up what the loop counts.
+type counterModel struct{ asked, net float64 }
+
+func (c *counterModel) Asked(string)                  { c.asked++ }
+func (c *counterModel) Start(_ string, slots float64) { c.net += slots }
+func (c *counterModel) Back(_ string, slots float64)  { c.net -= slots }
+
 // watchModel is a watch that was asked for.
 type watchModel struct {
 	at  string
@@ -90,6 +99,7 @@
 	}
 	h := &hopModel{j: j, tell: tell}
 	j.out, j.hops, r.out = h, j.hops+1, append(r.out, h)
+	r.ran++
 	return h
 }
 
@@ -108,7 +118,7 @@
 		t.Fatal(err)
 	}
 	r := &rig{t: t, now: time.Unix(1e9, 0), watches: make(chan watchModel, 1000)}
-	r.Dispatcher, err = New(Options{Settings: s, Seed: 1, Known: []byte(known), Egress: r, Phases: &Phases{},
+	r.Dispatcher, err = New(Options{Settings: s, Seed: 1, Known: []byte(known), Egress: r, Phases: &Phases{}, Counter: &r.counted,
 		Log: func(string, ...any) {}, Now: func() time.Time { return r.now },
 		Discovery: "old", Watch: func(ctx context.Context, at string, seq int64, _ func(*route.Update)) error {
 			r.watches <- watchModel{at, seq, ctx}
@@ -176,6 +186,9 @@
 				if len(r.out) > 0 {
 					h := r.out[arg%len(r.out)]
 					o := outcomes[arg%len(outcomes)]
+					if !h.over && (o == balance.Full || o == balance.Unreachable) {
+						r.ran--
+					}
 					h.end(o != balance.Full && o != balance.Unreachable)
 					h.tell(egress.News{Outcome: o, Result: []byte("x")})
 				}
@@ -230,6 +243,9 @@
 				}
 			}
 			r.out = live
+			if r.counted.net != r.ran {
+				t.Fatalf("%v slots counted, %v may have run", r.counted.net, r.ran)
+			}
 		})
 		r.pass(2 * time.Second)
 		for _, j := range r.jobs {
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,233 @@
+package peers
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/counts"
+	"example.org/bellstream/internal/peers/wire"
+	"example.org/bellstream/internal/shares"
+)
+
+func TestMain(m *testing.M) {
+	// memberlist leaves its delayed gossip to end by itself after Shutdown.
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("time.Sleep"))
+}
+
+func table() []shares.Tenant {
+	return []shares.Tenant{{Name: "a", ID: counts.ID("a", 20, 1), Quota: 20}, {Name: "b", ID: counts.ID("b", 10, 1), Quota: 10}}
+}
+
+// heardLog keeps what was logged.
+type heardLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *heardLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *heardLog) count(words string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), words)
+}
+
+var lives uint64
+
+func start(t *testing.T, name string, join []string, more func(*Options)) (*Node, *heardLog) {
+	t.Helper()
+	log := &heardLog{}
+	lives++
+	o := Options{Name: name, Listen: "127.0.0.1:0", Join: join, Cluster: "test", Incarnation: lives, Exchange: true, Tenants: table(),
+		Settings: shares.Settings{Period: 0.05, Staleness: 1.5, Floor: 0.02, Instances: 2},
+		Log:      zerolog.New(log), Now: time.Now, Tell: func([]balance.Share) {}}
+	if more != nil {
+		more(&o)
+	}
+	n, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n, log
+}
+
+// until waits for a condition, which the network brings about.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in 15 s: %s", what)
+		}
+	}
+}
+
+func drops(n *Node, reason string) func() bool {
+	return func() bool { return n.Status().Drops[reason] > 0 }
+}
+
+func net2(n *Node, tenant string) float64 {
+	for _, t := range n.Status().Tenants {
+		if t.Name == tenant {
+			return t.Net
+		}
+	}
+	return -1
+}
+
+// Two find each other although one address of the list is wrong and the other
+// instance is not up yet, exchange counts, lend, and part on a goodbye.
+func TestTwoMeet(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0") // an address that will be the other's
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := held.Addr().String()
+	held.Close()
+	var mu sync.Mutex
+	told := map[string]balance.Share{}
+	a, _ := start(t, "a", []string{"127.0.0.1:1", later}, func(o *Options) {
+		o.Tell = func(news []balance.Share) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, s := range news {
+				told[s.Tenant] = s
+			}
+		}
+	})
+	slice := func(tenant string) float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return told[tenant].Slice
+	}
+	until(t, "a has its home alone", func() bool { return slice("a") == 0.5 })
+	b, _ := start(t, "b", nil, func(o *Options) { o.Listen = later })
+	until(t, "both have a home", func() bool { return b.Status().Joined && len(a.Status().Peers) == 1 && a.Status().Peers[0].Echoes })
+	stop := make(chan struct{})
+	var flow sync.WaitGroup
+	flow.Add(1)
+	go func() {
+		defer flow.Done()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				a.Asked("a")
+				a.Start("a", 1)
+			}
+		}
+	}()
+	until(t, "a has nearly all where all come in", func() bool { return slice("a") > 0.95 })
+	close(stop)
+	flow.Wait()
+	a.Back("a", 1)
+	until(t, "b counts what a did", func() bool {
+		m, _ := a.x.Set.Snapshot().Record("a").Life(a.Incarnation)
+		return len(m) == 1 && m[0].Backs == 1000 && net2(b, "a") == float64(m[0].Net())/1000
+	})
+	if got := b.Counts()["a"]; got.Backs != 1000 {
+		t.Errorf("%+v", got)
+	}
+	b.Leave()
+	until(t, "b has said goodbye", func() bool { return len(a.Status().Peers) == 0 })
+}
+
+// What comes from elsewhere is dropped and counted by reason, and logged once.
+func TestStrangers(t *testing.T) {
+	key := func(b byte) [][]byte { return [][]byte{[]byte(strings.Repeat(string(rune('a'+b)), 16))} }
+	a, log := start(t, "a", nil, func(o *Options) { o.Keys = key(0) })
+	start(t, "k", []string{a.Addr()}, func(o *Options) { o.Keys = key(1) })
+	start(t, "c", []string{a.Addr()}, func(o *Options) { o.Keys, o.Cluster = key(0), "other" })
+	until(t, "the wrong key is seen", drops(a, "wrong key"))
+	until(t, "the other cluster is seen", drops(a, wire.ErrCluster.Error()))
+	if n := log.count("wrong key"); n != 1 {
+		t.Errorf("logged %d times", n)
+	}
+	for reason, raw := range map[string][]byte{
+		wire.ErrGarbled.Error():  {1, 2, 3},
+		wire.ErrCluster.Error():  wire.Beacon(wire.Cluster("other"), &shares.Message{From: "x", To: "a", Incarnation: 1, Seq: 1}),
+		wire.ErrTooLarge.Error(): make([]byte, wire.MaxBeacon+1),
+		shares.Unknown:           wire.Beacon(wire.Cluster("test"), &shares.Message{From: "x", To: "a", Incarnation: 1, Seq: 1}),
+		shares.Impostor:          wire.Beacon(wire.Cluster("test"), &shares.Message{From: "a", To: "a", Incarnation: 1, Seq: 1}),
+	} {
+		delegate{a}.NotifyMsg(raw)
+		until(t, reason, drops(a, reason))
+	}
+	if len(a.Status().Peers) != 0 {
+		t.Errorf("peers %v", a.Status().Peers)
+	}
+}
+
+// More than the inbox holds is dropped and counted, and nothing waits.
+func TestFloodOfMessages(t *testing.T) {
+	a, _ := start(t, "a", nil, nil)
+	raw := wire.Beacon(wire.Cluster("test"), &shares.Message{From: "x", To: "a", Incarnation: 1, Seq: 1})
+	for range 100 * inboxLen {
+		delegate{a}.NotifyMsg(raw)
+	}
+	until(t, "the flood is counted", drops(a, "inbox full"))
+}
+
+// Keys change in a running cluster: first all can read the new one, then it is
+// written with, then the old one goes. Counts arrive throughout.
+func TestKeysRotate(t *testing.T) {
+	old, fresh := []byte(strings.Repeat("o", 32)), []byte(strings.Repeat("n", 32))
+	with := func(o *Options) { o.Keys = [][]byte{old} }
+	a, _ := start(t, "a", nil, with)
+	b, log := start(t, "b", []string{a.Addr()}, with)
+	until(t, "they met", func() bool { return b.Status().Joined && a.Status().Joined && len(a.Status().Peers) == 1 })
+	for step, keys := range [][][]byte{{old, fresh}, {fresh, old}, {fresh}} {
+		for _, n := range []*Node{a, b} {
+			if err := n.Rotate(keys); err != nil {
+				t.Fatal(err)
+			}
+		}
+		a.Start("a", 1)
+		until(t, fmt.Sprintf("step %d: b counts", step), func() bool { return net2(b, "a") == float64(step+1) })
+	}
+	if log.count("wrong key") > 0 || log.count(base64.StdEncoding.EncodeToString(fresh)) > 0 || log.count(string(fresh)) > 0 {
+		t.Error("the rotation shows in the log")
+	}
+	if err := a.Rotate(nil); err == nil {
+		t.Error("went into the clear")
+	}
+}
+
+// Two under one name: both are noticed and named, and the counts of a third
+// hold what each has done.
+func TestTwoUnderOneName(t *testing.T) {
+	c, log := start(t, "c", nil, func(o *Options) { o.Settings.Instances = 3 })
+	start(t, "twin", []string{c.Addr()}, nil)
+	until(t, "the first is seen", func() bool { return len(c.Status().Peers) == 1 })
+	second, _ := start(t, "twin", []string{c.Addr()}, nil)
+	until(t, "the conflict is seen", drops(c, "two instances under one name"))
+	if log.count("two instances use one name") != 1 || log.count("127.0.0.1") < 2 {
+		t.Error("the log does not name them")
+	}
+	_ = second
+}
+
+func TestBadAddresses(t *testing.T) {
+	for _, listen := range []string{"nowhere", "127.0.0.1:x", "203.0.113.1:1"} {
+		if _, err := New(Options{Name: "a", Listen: listen, Now: time.Now, Log: zerolog.Nop()}); err == nil {
+			t.Errorf("%s: no error", listen)
+		}
+	}
+	if _, err := New(Options{Name: "a", Listen: "127.0.0.1:0", Advertise: "x", Now: time.Now, Log: zerolog.Nop()}); err == nil {
+		t.Error("advertise: no error")
+	}
+}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -146,10 +146,11 @@
 	asked       []uint64 // by tenant, at the last round
 	quick, slow []float64
 	need        []uint32
-	lent        []uint32 // to all, by tenant
-	lack        []uint64 // what all peers need beyond a home, by tenant
-	digest      uint64   // of the view
-	base        []int64  // counted elsewhere as of the last look
+	lent        []uint32          // to all, by tenant
+	lack        []uint64          // what all peers need beyond a home, by tenant
+	digest      uint64            // of the view
+	left        map[string]uint64 // said goodbye, by life: membership may still see them
+	base        []int64           // counted elsewhere as of the last look
 	based       bool
 	drops       map[string]uint64
 }
@@ -161,7 +162,7 @@
 	}
 	s.Instances = max(s.Instances, 1)
 	b := &Book{Settings: s, name: name, incarnation: incarnation, tenants: slices.Clone(tenants),
-		index: map[uint64]int{}, peers: map[string]*peer{}, began: now, last: now, drops: map[string]uint64{}}
+		index: map[uint64]int{}, peers: map[string]*peer{}, began: now, last: now, drops: map[string]uint64{}, left: map[string]uint64{}}
 	slices.SortFunc(b.tenants, func(x, y Tenant) int { return cmp.Compare(x.ID, y.ID) })
 	for i, t := range b.tenants {
 		b.index[t.ID] = i
@@ -188,12 +189,20 @@
 	there := map[string]bool{}
 	for _, n := range names {
 		there[n] = true
+		if _, gone := b.left[n]; gone {
+			continue
+		}
 		if n != b.name && b.peers[n] == nil && len(b.peers) < counts.MaxNames {
 			b.peers[n] = &peer{name: n, heard: math.Inf(-1), since: now, whole: true, needs: map[uint64]uint32{},
 				loans: map[uint64]loan{}, dirty: map[uint64]struct{}{}, lent: map[uint64]uint32{}}
 			b.sort()
 		}
 	}
+	for n := range b.left {
+		if !there[n] {
+			delete(b.left, n)
+		}
+	}
 	for _, p := range b.peers {
 		if p.present = there[p.name]; p.present {
 			p.since = now
@@ -574,6 +583,9 @@
 	case m.To != b.name:
 		return NotForUs
 	case p == nil:
+		if life, gone := b.left[m.From]; gone && m.Incarnation > life && !m.Leaving {
+			delete(b.left, m.From) // it has started again
+		}
 		return Unknown
 	case m.Seq == 0 || m.Lo > m.Hi || m.Incarnation == 0:
 		return Malformed
@@ -602,6 +614,7 @@
 	p.seq, p.heard, p.view, p.settled, p.table = m.Seq, now, m.View, m.Settled, m.Table
 	if m.Leaving {
 		b.Forgotten(p.name)
+		b.left[p.name] = m.Incarnation
 		return ""
 	}
 	if m.Echo == b.incarnation && m.EchoSeq > 0 {
