Work out what a round tells once, not once for each peer

Need: with 1,000 tenants and 200 instances a round went over all tenants for every message. Needs, lack and the settled flag are worked out once a round now.

--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -148,6 +148,8 @@
 	need        []uint32
 	lent        []uint32          // to all, by tenant
 	lack        []uint64          // what all peers need beyond a home, by tenant
+	needs       []Part            // to be told in this round
+	settled     bool              // no more is lent than the home, as of this round
 	digest      uint64            // of the view
 	left        map[string]uint64 // said goodbye, by life: membership may still see them
 	base        []int64           // counted elsewhere as of the last look
@@ -369,10 +371,18 @@
 	}
 }
 
-// lacks adds up what all that were heard of late need beyond their homes.
+// lacks adds up what all that were heard of late need beyond their homes, and
+// what this instance is to tell all in this round.
 func (b *Book) lacks(now float64) {
 	clear(b.lack)
 	home := b.Home(now)
+	b.needs, b.settled = nil, true
+	for i, t := range b.tenants {
+		if b.need[i] > 0 && !b.leaving {
+			b.needs = append(b.needs, Part{t.ID, b.need[i]})
+		}
+		b.settled = b.settled && b.lent[i] <= home
+	}
 	for _, p := range b.peers {
 		if now-p.heard >= b.Staleness {
 			continue
@@ -415,12 +425,6 @@
 	if p.echoes && until > now && b.joined && !b.leaving {
 		grants = b.lend(now, p, home)
 	}
-	var needs []Part
-	for i, t := range b.tenants {
-		if b.need[i] > 0 && !b.leaving {
-			needs = append(needs, Part{t.ID, b.need[i]})
-		}
-	}
 	var news counts.Column
 	for t := range p.dirty {
 		if r := rows.At(t); r != (counts.Pair{}) {
@@ -429,12 +433,8 @@
 	}
 	clear(p.dirty)
 	news = counts.Normal(news)
-	settled := true
-	for i := range b.tenants {
-		settled = settled && b.lent[i] <= home
-	}
 	var out []*Message
-	for _, pg := range pages(needs, grants, news) {
+	for _, pg := range pages(b.needs, grants, news) {
 		if len(p.ring) == ringLen { // the fate of the oldest will not be told any more
 			p.back(&p.ring[0])
 			if p.ring[0].until > now && len(p.ring[0].grants) > 0 {
@@ -453,7 +453,7 @@
 		m := &pg
 		m.From, m.To, m.Incarnation, m.Seq = b.name, to, b.incarnation, p.next
 		m.Echo, m.EchoSeq, m.EchoBits = p.incarnation, p.seq, p.bits
-		m.View, m.Size, m.Settled, m.Leaving = b.view(), b.Size(now), settled, b.leaving
+		m.View, m.Size, m.Settled, m.Leaving = b.view(), b.Size(now), b.settled, b.leaving
 		m.Table = b.table
 		open := sent{seq: m.Seq, at: now, until: now + b.Staleness, lo: m.Lo, hi: m.Hi, grants: m.Grants}
 		if len(m.Grants) > 0 {
