Let clients have jobs wait for others or for a time, where the operator allows it

Need: internal/waiting was there without a front. Wait-For and Not-Before are read at the door where the operator's file has a waiting block; what is wrong with them is a 400 that names the field. The loop tracks every id, hands eligible jobs to the module 128 a turn, answers a failed parent's children 424 (503 where another try helps) at once, and leaves what runs out of time, or waits at a stop, to the module. SIGHUP brings new limits, the admin listener has /waiting and metrics, bellstream waiting prints them. JobArrived.Fresh: a job that waited by its own wish starts its aim when it becomes eligible.

--- a/cmd/bellstream/main.go
+++ b/cmd/bellstream/main.go
@@ -17,6 +17,7 @@
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Dispatch jobs until SIGTERM (the default)."`
 	Check   checkCmd   `cmd:"" help:"Check an operator's file without starting; with --config also whether its promises fit."`
 	Peers   peersCmd   `cmd:"" help:"Show the cluster as a running instance sees it."`
+	Waiting waitingCmd `cmd:"" help:"Show what waits at a running instance."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -42,6 +43,16 @@
 
 func (c *peersCmd) Run(out io.Writer) error { return service.ShowPeers(out, c.Admin, c.File, c.JSON) }
 
+type waitingCmd struct {
+	Admin string `help:"Admin listener of the instance." placeholder:"HOST:PORT"`
+	File  string `help:"Operator's file, to take the admin listener from." env:"BELLSTREAM_FILE" placeholder:"FILE"`
+	JSON  bool   `name:"json" help:"Print what the instance says as it is."`
+}
+
+func (c *waitingCmd) Run(out io.Writer) error {
+	return service.ShowWaiting(out, c.Admin, c.File, c.JSON)
+}
+
 type versionCmd struct{}
 
 func (versionCmd) Run(out io.Writer) error {
--- a/deploy/bellstream.hcl
+++ b/deploy/bellstream.hcl
@@ -34,3 +34,15 @@
   loss      = 0.1     # part of the messages that the network loses
   max_error = 0.25    # of a tenant's share in 10 s; refused if it can't be met
 }
+
+# Clients may have jobs wait: Wait-For: ID, ID and Not-Before: UNIXSECONDS.
+waiting {
+  jobs      = 20000    # at once
+  bytes     = 33554432 # of them
+  parents   = 32       # of one job
+  depth     = 16384    # of a chain
+  strangers = 5000     # ids that are waited for and have not come
+  grace     = "2s"     # for these to come
+  remember  = "60s"    # how jobs ended
+  ended     = 100000   # ends remembered at most
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -405,16 +405,16 @@
 		d.Counter.Asked(r.Tenant)
 	}
 	if d.Waiting == nil || !d.Waiting.Waits(r.ID) {
-		d.offer(h, false)
+		d.offer(h, h.deadline-d.clock(), false)
 	}
 }
 
-// offer hands a request to the module. One that has waited by its own wish is
-// as good as new to it.
-func (d *Dispatcher) offer(h *held, waited bool) {
+// offer hands a request to the module, with the time that is left for it. One
+// that has waited by its own wish is as good as new to it.
+func (d *Dispatcher) offer(h *held, left float64, waited bool) {
 	r := h.req
 	d.events = append(d.events, balance.JobArrived{ID: r.ID, Class: r.Class, Tenant: r.Tenant,
-		Left: h.deadline - d.clock(), Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Fresh: waited})
+		Left: left, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Fresh: waited})
 }
 
 // hop takes news of an attempt. News that comes after the attempt was ended
--- a/internal/dispatcher/wait.go
+++ b/internal/dispatcher/wait.go
@@ -69,9 +69,11 @@
 			h := d.held[due.ID]
 			switch {
 			case h == nil || h.answered:
+			case due.Over: // no time is left: the module answers it in this step
+				d.offer(h, 0, true)
 			case due.Cause == nil:
 				n++
-				d.offer(h, true)
+				d.offer(h, h.deadline-now, true)
 			case due.Cause.Retry():
 				d.answer(h, ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter,
 					Body: []byte(due.Cause.String() + "\n")})
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 	"example.org/bellstream/internal/logging"
 	"example.org/bellstream/internal/settings"
 	"example.org/bellstream/internal/shares"
+	"example.org/bellstream/internal/waiting"
 )
 
 // File is the whole of it.
@@ -27,6 +28,8 @@
 	Admin  *Admin  `hcl:"admin,block"`
 	Peers  *Peers  `hcl:"peers,block"`
 	Counts *Counts `hcl:"counts,block"`
+	// Waiting lets jobs wait for others, or for a time.
+	Waiting *Waiting `hcl:"waiting,block"`
 
 	path string
 	body *hclsyntax.Body
@@ -66,6 +69,52 @@
 	Exchange  *bool    `hcl:"exchange,optional"`
 }
 
+// Waiting bounds what waits.
+type Waiting struct {
+	Jobs      *int   `hcl:"jobs,optional"`
+	Bytes     *int64 `hcl:"bytes,optional"`
+	Parents   *int   `hcl:"parents,optional"`
+	Depth     *int   `hcl:"depth,optional"`
+	Strangers *int   `hcl:"strangers,optional"`
+	Grace     string `hcl:"grace,optional"`
+	Remember  string `hcl:"remember,optional"`
+	Ended     *int   `hcl:"ended,optional"`
+}
+
+// Limits are those that the file gives for what waits.
+func (f *File) Limits() (waiting.Limits, error) {
+	l, w := waiting.Defaults(), f.Waiting
+	if w == nil {
+		return l, nil
+	}
+	for _, x := range []struct{ from, to *int }{{w.Jobs, &l.Jobs}, {w.Parents, &l.Parents}, {w.Depth, &l.Depth},
+		{w.Strangers, &l.Strangers}, {w.Ended, &l.Ended}} {
+		if x.from != nil {
+			*x.to = *x.from
+		}
+	}
+	if w.Bytes != nil {
+		l.Bytes = *w.Bytes
+	}
+	for _, x := range []struct {
+		key, text string
+		to        *float64
+	}{{"grace", w.Grace, &l.Grace}, {"remember", w.Remember, &l.Remember}} {
+		if x.text == "" {
+			continue
+		}
+		d, err := time.ParseDuration(x.text)
+		if err != nil {
+			return l, f.Wrong("waiting", x.key, fmt.Errorf("%q is no duration such as \"2s\"", x.text))
+		}
+		*x.to = d.Seconds()
+	}
+	if key, err := l.Check(); err != nil {
+		return l, f.Wrong("waiting", key, err)
+	}
+	return l, nil
+}
+
 // Defaults of the exchange, for a network inside one hall or between two.
 const (
 	Period    = 250 * time.Millisecond
@@ -159,6 +208,9 @@
 	if f.Counts != nil && f.Peers == nil {
 		bad("counts", "", errors.New("has no effect without a peers block"))
 	}
+	if _, err := f.Limits(); err != nil {
+		wrong = append(wrong, err)
+	}
 	s, err := f.Shares(1)
 	if err != nil {
 		wrong = append(wrong, err)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -34,6 +34,9 @@
 		{peers + "}\ncounts {\n loss = 0.9\n}", "f.hcl:6: counts.loss: 0.9"},
 		{peers + "}\ncounts {\n staleness = \"500ms\"\n}", "f.hcl:6: counts.staleness: 0.50 s is too short"},
 		{peers + "}\ncounts {\n instances = -1\n}", "f.hcl:6: counts.instances"},
+		{"waiting {\n grace = \"later\"\n}", "f.hcl:2: waiting.grace: \"later\" is no duration"},
+		{"waiting {\n jobs = 0\n}", "f.hcl:2: waiting.jobs: 0 is not above 0"},
+		{"waiting {\n bytes = \"much\"\n}", "f.hcl:2: "},
 		{"counts {\n floor = 0.1\n}", "f.hcl:1: counts.: has no effect"},
 	} {
 		_, err := Parse("f.hcl", []byte(c.text))
--- a/internal/service/parts.go
+++ b/internal/service/parts.go
@@ -17,6 +17,7 @@
 	"example.org/bellstream/internal/peers"
 	"example.org/bellstream/internal/settings"
 	"example.org/bellstream/internal/shares"
+	"example.org/bellstream/internal/waiting"
 )
 
 // parts are the subsystems that run. There are none without an operator's file.
@@ -60,7 +61,25 @@
 	} else if show != nil {
 		show.JSON("/peers", func() any { return nil })
 	}
+	if op.Waiting != nil {
+		l, err := op.Limits()
+		if err != nil {
+			p.close()
+			return nil, err
+		}
+		o.Waiting = waiting.New(l)
+		p.list = append(p.list, waitingPart{p})
+		if show != nil {
+			show.Registry.MustRegister(waitingMetrics(p.waiting))
+		}
+	}
 	if show != nil {
+		show.JSON("/waiting", func() any {
+			if s, ok := p.waiting(); ok {
+				return s
+			}
+			return nil
+		})
 		show.Start()
 		log.Info().Msgf("admin listens on %s", show.Addr())
 	}
@@ -76,6 +95,14 @@
 
 func (p *parts) bind(d *dispatcher.Dispatcher) { p.loop.Store(d) }
 
+// waiting are the figures of what waits, from the loop.
+func (p *parts) waiting() (waiting.Stats, bool) {
+	if d := p.loop.Load(); d != nil {
+		return d.WaitingStats()
+	}
+	return waiting.Stats{}, false
+}
+
 func (p *parts) leave() {
 	for _, s := range p.list {
 		s.Leave()
@@ -108,6 +135,23 @@
 func (adminPart) Reload(*operator.File) error { return nil }
 func (adminPart) Leave()                      {}
 
+// waitingPart has new limits count for what comes to wait from now on.
+type waitingPart struct{ p *parts }
+
+func (w waitingPart) Reload(f *operator.File) error {
+	if f.Waiting == nil {
+		return nil // switched off by a restart: what waits would be lost
+	}
+	l, err := f.Limits()
+	if err != nil {
+		return err
+	}
+	w.p.loop.Load().Limits(l)
+	return nil
+}
+func (waitingPart) Leave() {}
+func (waitingPart) Close() {}
+
 type peersPart struct{ *peers.Node }
 
 // Reload takes other keys into use; all else is for the next start.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -91,6 +91,7 @@
 	}
 	defer l.Close()
 	server := ingress.NewServer(classes, d, o.Phases, in, logf)
+	server.Waits = o.Waiting != nil
 	go server.Serve(l)
 	go func() {
 		logf("%s: stopping", <-stops)
