--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/prometheus/common/expfmt"
 )
 
 // Server is the listener. Subsystems add what they have to show before Start.
@@ -28,13 +28,31 @@
 		return nil, err
 	}
 	s := &Server{Registry: prometheus.NewRegistry(), mux: http.NewServeMux(), listener: l}
-	s.mux.Handle("GET /metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
+	s.mux.HandleFunc("GET /metrics", s.metrics)
 	// Operators are few, and a stuck one must not cost descriptors for long.
 	s.http = &http.Server{Handler: s.mux, ReadHeaderTimeout: 2 * time.Second, WriteTimeout: 10 * time.Second,
 		IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10}
 	return s, nil
 }
 
+// metrics writes the text format. promhttp would bring compressors that weigh
+// on every instance, also where there is no admin listener.
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	families, err := s.Registry.Gather()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	format := expfmt.NewFormat(expfmt.TypeTextPlain)
+	w.Header().Set("Content-Type", string(format))
+	e := expfmt.NewEncoder(w, format)
+	for _, f := range families {
+		if e.Encode(f) != nil {
+			return // whoever asked has left
+		}
+	}
+}
+
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -16,6 +16,8 @@
 type Job struct {
 	At         time.Time // when it was taken
 	Started    time.Time // when it got a slot; zero: it was called off before
+	Done       time.Time // when its end was written; zero: it was not
+	Failed     bool      // it ran and failed
 	ID, Worker string
 	Tenant     string
 	Entry      string // the dispatcher that the client asked
@@ -43,6 +45,15 @@
 	free    chan struct{}
 	mu      sync.Mutex
 	waiting int
+	silent  time.Time // until when it takes jobs and says nothing
+}
+
+// Silence has a worker take jobs and say nothing for some time.
+func (f *Fleet) Silence(worker int, d time.Duration) {
+	w := f.workers[worker%len(f.workers)]
+	w.mu.Lock()
+	w.silent = time.Now().Add(d)
+	w.mu.Unlock()
 }
 
 // NewFleet starts so many workers and a discovery that knows them.
@@ -148,6 +159,7 @@
 		return
 	}
 	tenant, entry, _ := strings.Cut(string(body), " ")
+	entry, fails := strings.CutSuffix(entry, " fail")
 	id := r.Header.Get("Request-Id")
 	w.mu.Lock()
 	if w.waiting >= 2*w.f.Slots {
@@ -158,6 +170,7 @@
 		return
 	}
 	w.waiting++
+	silent := time.Until(w.silent)
 	w.mu.Unlock()
 	w.f.mu.Lock()
 	nth := len(w.f.jobs)
@@ -168,6 +181,12 @@
 		fmt.Fprintf(out, `{"id":%q,"from":%q,"state":%q%s}`+"\n", id, w.name, state, more)
 		out.(http.Flusher).Flush()
 	}
+	if silent > 0 {
+		select {
+		case <-time.After(silent):
+		case <-r.Context().Done():
+		}
+	}
 	out.(http.Flusher).Flush()
 	left := func() { w.mu.Lock(); w.waiting--; w.mu.Unlock() }
 	select {
@@ -186,6 +205,13 @@
 	case <-r.Context().Done():
 	}
 	w.free <- struct{}{}
+	w.f.mu.Lock()
+	w.f.jobs[nth].Done, w.f.jobs[nth].Failed = time.Now(), fails
+	w.f.mu.Unlock()
+	if fails {
+		say("failed", fmt.Sprintf(`,"load":%s`, w.load()))
+		return
+	}
 	result, _ := json.Marshal(id)
 	say("done", fmt.Sprintf(`,"result":%s,"load":%s`, result, w.load()))
 }
--- /dev/null
+++ b/internal/lab/waiting.go
@@ -0,0 +1,205 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+var waitingExperiment = Experiment{
+	Name:    "waiting",
+	About:   "Jobs with random parents and times at one real process; parents fail, workers go silent.",
+	Without: []string{"waiting"},
+	Run:     runWaiting,
+}
+
+// wish is a job of the experiment and what became of it.
+type wish struct {
+	id        string
+	after     []int
+	notBefore time.Time
+	fails     bool
+	asked     time.Time
+	answered  time.Time
+	status    int
+	why       string
+}
+
+func runWaiting(p Params) (*Result, error) {
+	jobs, rate := 20_000, 250.0
+	if p.Quick {
+		jobs = 4_000
+	}
+	fleet, err := NewFleet(p.Seed, 40, 4, 100*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	addr, err := freePort("127.0.0.1")
+	if err != nil {
+		return nil, err
+	}
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":512,"sockets":8192},
+"known":%s,"settings":{"me":0,"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
+"lanes":[{"name":"job","aim":2,"aim_stretch":2,"hard_limit":20,"value":1,"late_worth":0.5,"semantics":"unsafe"}],
+"family_info":{"report_x0":"free slots","tells_start":true},"reporting":{"how":"pull","fields":["x0","waiting"]},
+"caps":{"cancelling":true,"probes":true,"retry_after":true,"max_retry_after":2,"dial_timeout":0.25,"keepalive":15,"max_attempts":3},
+"charges":{"probe":0.01},"rules":{"ask_every":10,"drain_grace":2,"grace_to_answer":0.016}}}`, addr, fleet.Discovery(), p.Seed, fleet.List())
+	file := "log {\n  level = \"info\"\n}\n"
+	if p.Without != "waiting" {
+		file += "waiting {\n  grace = \"2s\"\n}\n"
+	}
+	d, err := NewDispatcher(p.Program, p.Out, "n0", config, file)
+	if err != nil {
+		return nil, err
+	}
+	d.Addr = addr
+	if err := d.Start(); err != nil {
+		return nil, err
+	}
+	defer d.Kill()
+
+	rng := rand.New(rand.NewPCG(p.Seed, 3))
+	list := make([]wish, jobs)
+	for i := range list {
+		w := &list[i]
+		w.id, w.fails = fmt.Sprintf("%08x%08x", uint32(p.Seed), i), rng.Float64() < 0.05
+		for range rng.IntN(3) {
+			// Mostly of the last hundred, now and then one that comes later.
+			parent := i - 1 - rng.IntN(100)
+			if rng.Float64() < 0.05 {
+				parent = i + 1 + rng.IntN(100)
+			}
+			if parent >= 0 && parent < jobs && parent != i && rng.Float64() < 0.5 {
+				w.after = append(w.after, parent)
+			}
+		}
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+	defer client.CloseIdleConnections()
+	var all sync.WaitGroup
+	began := time.Now()
+	for k, at := range []float64{0.25, 0.5, 0.7} { // workers go silent, one after the other
+		time.AfterFunc(time.Duration(at*float64(jobs)/rate*float64(time.Second)), func() { fleet.Silence(3*k, 2*time.Second) })
+	}
+	for i := range list {
+		time.Sleep(time.Until(began.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
+		w := &list[i]
+		if rng.Float64() < 0.2 {
+			w.notBefore = time.Now().Add(time.Duration(rng.Float64() * 2 * float64(time.Second)))
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			body := "t 0"
+			if w.fails {
+				body += " fail"
+			}
+			req, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/job", strings.NewReader(body))
+			req.Header.Set("Request-Id", w.id)
+			req.Header.Set("Request-Timeout", "15")
+			var after []string
+			for _, k := range w.after {
+				after = append(after, list[k].id)
+			}
+			if len(after) > 0 {
+				req.Header.Set("Wait-For", strings.Join(after, ", "))
+			}
+			if !w.notBefore.IsZero() {
+				req.Header.Set("Not-Before", strconv.FormatFloat(float64(w.notBefore.UnixNano())/1e9, 'f', 6, 64))
+			}
+			w.asked = time.Now()
+			resp, err := client.Do(req)
+			w.answered = time.Now()
+			if err == nil {
+				raw, _ := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				w.status, w.why = resp.StatusCode, string(raw)
+			}
+		}()
+	}
+	all.Wait()
+	p.Log("all answered after %.1f s", time.Since(began).Seconds())
+
+	// The workers' own records: what ran when, and how often.
+	ends, starts, runs := map[string]time.Time{}, map[string]time.Time{}, map[string]int{}
+	for _, j := range fleet.Jobs() {
+		if !j.Started.IsZero() {
+			runs[j.ID]++
+			starts[j.ID] = j.Started
+		}
+		if !j.Done.IsZero() && !j.Failed {
+			ends[j.ID] = j.Done
+		}
+	}
+	var none, early, orphans, twice, ran, slow float64
+	var worst time.Duration
+	count := map[int]int{}
+	for i := range list {
+		w := &list[i]
+		count[w.status]++
+		if w.status == 0 {
+			none++
+		}
+		if runs[w.id] > 1 {
+			twice++
+		}
+		start, started := starts[w.id]
+		if started {
+			ran++
+			if start.Before(w.notBefore) {
+				early++
+			}
+			for _, k := range w.after {
+				if end, ok := ends[list[k].id]; !ok || end.After(start) {
+					orphans++
+				}
+			}
+		}
+		if w.status == http.StatusFailedDependency { // how soon after the end that it names?
+			_, rest, _ := strings.Cut(w.why, "job ")
+			name, _, _ := strings.Cut(rest, ",")
+			for k := max(0, i-2000); k < min(jobs, i+200); k++ {
+				if list[k].id == name {
+					since := list[k].answered
+					if since.Before(w.asked) {
+						since = w.asked
+					}
+					took := w.answered.Sub(since)
+					worst = max(worst, took)
+					if took > 100*time.Millisecond {
+						slow++
+					}
+				}
+			}
+		}
+	}
+	r := &Result{Size: fmt.Sprintf("%d jobs at %.0f a second, 40 workers of 4 slots, 5%% fail, 3 silences of 2 s", jobs, rate)}
+	r.AtMost("jobs without exactly one final answer", 0, none, "jobs")
+	r.AtMost("jobs that a worker started before what they wait for was served", 0, orphans, "jobs")
+	r.AtMost("jobs that a worker started before their time", 0, early, "jobs")
+	r.AtMost("unsafe jobs that ran twice", 0, twice, "jobs")
+	r.AtMost("cascades slower than 100 ms from the end to the answer", 0, slow, "jobs")
+	r.AtLeast("jobs that ran (so that the rest means something)", float64(jobs)/4, ran, "jobs")
+	reasons := map[string]int{}
+	for i := range list {
+		if w := &list[i]; w.status != http.StatusOK {
+			_, why, _ := strings.Cut(w.why, ",")
+			reasons[fmt.Sprint(w.status, why)]++
+		}
+	}
+	for why, n := range reasons {
+		p.Log("%d answers %s", n, strings.TrimSpace(why))
+	}
+	r.Note("slowest cascade", math.Round(worst.Seconds()*1e4)/10, "ms")
+	for _, status := range []int{200, 400, 424, 502, 503, 504} {
+		r.Note(fmt.Sprintf("answers %d", status), float64(count[status]), "jobs")
+	}
+	return r, nil
+}
