--- a/balance/balance.go
+++ b/balance/balance.go
@@ -297,9 +297,9 @@
 func (b *Balancer) blind() float64 { return 1 - 1/math.Sqrt(float64(b.cfg.Dispatchers)) }
 
 // candidates are a tenant's waiting jobs, one of each shape: the oldest of those with
-// the best odds, among many the oldest and youngest; the most worth for the slot time goes first. Danger: in a long backlog
-// first come, first served makes nearly all miss their aim. May hurt a tenant's long
-// jobs while its short ones fill its share.
+// the best odds, in a long queue of the oldest and youngest; the most worth for the slot
+// time goes first. Danger: in a long backlog first come, first served makes nearly all miss
+// their aim. May hurt a tenant's long jobs while its short ones fill its share.
 func (b *Balancer) candidates(t *tenant, late bool) []*job {
 	var found []choice
 	for _, g := range t.queue.groups {
