--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,154 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A result holds only if every claim does, and none that measured nothing.
+func TestClaims(t *testing.T) {
+	e := Experiment{Name: "x", Without: []string{"y"}, Run: func(Params) (*Result, error) {
+		r := &Result{Size: "small"}
+		r.AtMost("fine", 2, 1, "s")
+		r.AtLeast("not a figure", 0, math.NaN(), "s")
+		return r, nil
+	}}
+	r, err := e.Play(Params{Seed: 5})
+	if err != nil || r.Held || !r.Claims[0].Held || r.Claims[1].Held {
+		t.Errorf("%+v, %v", r, err)
+	}
+	e.Run = func(Params) (*Result, error) { return &Result{}, nil }
+	if r, _ := e.Play(Params{}); r.Held {
+		t.Error("a result without claims holds")
+	}
+	if _, err := e.Play(Params{Without: "z"}); err == nil {
+		t.Error("ran without what it does not have")
+	}
+	var out bytes.Buffer
+	r = &Result{Experiment: "x", Seed: 5}
+	r.AtMost("c", 2, 1, "s")
+	r.Print(&out, true)
+	var back map[string]any
+	if err := json.Unmarshal(out.Bytes(), &back); err != nil || back["experiment"] != "x" || back["claims"] == nil {
+		t.Errorf("%s: %v", out.String(), err)
+	}
+}
+
+// What was done is divided whole, reservations come first, and the lone tenant
+// gets no more than it asks for.
+func TestIdeal(t *testing.T) {
+	for _, done := range []float64{140, 165, 200, 400} {
+		got, all := ideal(done), 0.0
+		for _, x := range countsTenants {
+			all += got[x]
+			if got[x] < countsQuotas[x]-1e-6 {
+				t.Errorf("%v done: %s has %v of %v", done, x, got[x], countsQuotas[x])
+			}
+		}
+		if math.Abs(all-done) > 1e-6 || got[countsLone] > 1.2*countsQuotas[countsLone]+1e-6 {
+			t.Errorf("%v done: %v", done, got)
+		}
+	}
+}
+
+// The relay passes, loses all, repeats all, and is cut by who sends to whom.
+func TestRelay(t *testing.T) {
+	target, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	sender, err := net.ListenUDP("udp", &net.UDPAddr{IP: IP(3)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	count := func(r *Relay, n int) (got int) {
+		t.Helper()
+		door, err := r.Door(0, target.LocalAddr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Close()
+		to, _ := net.ResolveUDPAddr("udp", door)
+		sender.WriteToUDP([]byte("x"), to)
+		buf := make([]byte, 9)
+		for range n + 1 {
+			// The last read is for what must not come: it ends by its deadline.
+			target.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			if _, _, err := target.ReadFromUDP(buf); err != nil {
+				return got
+			}
+			got++
+		}
+		return got
+	}
+	cut := NewRelay(1, 0, 0, 0)
+	cut.Cut(func(from, to int) bool { return from == 3 && to == 0 })
+	other := NewRelay(1, 0, 0, 0)
+	other.Cut(func(from, to int) bool { return from == 4 })
+	for name, c := range map[string]struct {
+		r    *Relay
+		want int
+	}{"passes": {NewRelay(1, 0, 0, time.Millisecond), 1}, "loses": {NewRelay(1, 1, 0, 0), 0},
+		"repeats": {NewRelay(1, 0, 1, 0), 2}, "cut": {cut, 0}, "another is cut": {other, 1}} {
+		if got := count(c.r, c.want); got != c.want {
+			t.Errorf("%s: %d came, want %d", name, got, c.want)
+		}
+	}
+}
+
+// A worker of the fleet speaks the protocol: starts, ends, failures, hand-backs
+// when its queue is full, reports, and a record of each.
+func TestFleet(t *testing.T) {
+	f, err := NewFleet(1, 1, 1, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	post := func(id, body string) (int, string, http.Header) {
+		t.Helper()
+		req, _ := http.NewRequest(http.MethodPost, "http://"+f.workers[0].addr+"/job", strings.NewReader(body))
+		req.Header.Set("Request-Id", id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		raw, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(raw), resp.Header
+	}
+	if status, text, _ := post("a", "north 2"); status != 200 || !strings.Contains(text, `"state":"started"`) ||
+		!strings.Contains(text, `"state":"done","result":"a","load":{"x0":1,"waiting":0}`) {
+		t.Errorf("%d %s", status, text)
+	}
+	if _, text, _ := post("b", "north 2 fail"); !strings.Contains(text, `"state":"failed"`) {
+		t.Error(text)
+	}
+	f.workers[0].mu.Lock()
+	f.workers[0].waiting = 2 // its queue is full
+	f.workers[0].mu.Unlock()
+	if status, _, h := post("c", "x 0"); status != 503 || h.Get("Not-Started") != "1" || h.Get("Server-Load") == "" {
+		t.Errorf("%d %v", status, h)
+	}
+	jobs := f.Jobs()
+	if len(jobs) != 2 || jobs[0].Tenant != "north" || jobs[0].Entry != "2" || jobs[0].Done.IsZero() || jobs[0].Failed || !jobs[1].Failed || f.Taken()["north"] != 2 {
+		t.Errorf("%+v", jobs)
+	}
+	resp, err := http.Get("http://" + f.Discovery() + "/v1/servers")
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if !strings.Contains(string(raw), `"host":"w-00"`) {
+		t.Errorf("%s", raw)
+	}
+}
