Send cheap and wide jobs within a promised time, or refuse them as they come

Need: nothing bounds a wait under a steady stream of dearer work; cheap jobs and jobs of four slots starve.

Change: a class may have a longest wait W for its first hop (ageing block, off by default). After half of W a job goes before the tags, the one whose time ends first at first, and is charged as usual; the first wide one that finds no room has the roomiest worker kept free for it. At arrival a job is refused, with a time to come back, if those before it need more than half of W at a twentieth of what is started here; one of each class always gets its turn. The wake timer moved to state.go: it decides nothing.

--- /dev/null
+++ b/balance/ageing_test.go
@@ -0,0 +1,226 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// fleetSim plays workers of some slots against one balancer in virtual time.
+type fleetSim struct {
+	t       *testing.T
+	b       *Balancer
+	now     float64
+	rng     *rand.Rand
+	due     simHeap
+	free    map[string]float64
+	tries   map[string]int
+	slots   map[string]float64
+	came    map[string]float64
+	first   map[string]float64 // when a job was first sent
+	refused map[string]float64
+	failed  map[string]bool
+	silent  map[string]bool
+	run     float64
+	n       int
+}
+
+type simEvent struct {
+	at float64
+	n  int
+	e  Event
+	do func()
+}
+type simHeap []simEvent
+
+func (h simHeap) Len() int { return len(h) }
+func (h simHeap) Less(i, k int) bool {
+	return h[i].at < h[k].at || h[i].at == h[k].at && h[i].n < h[k].n
+}
+func (h simHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *simHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simHeap) Pop() any {
+	o := *h
+	x := o[len(o)-1]
+	*h = o[:len(o)-1]
+	return x
+}
+
+func newSim(t *testing.T, cfg Config, workers int, slots float64) *fleetSim {
+	b, err := New(cfg, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fleetSim{t: t, b: b, now: 100, rng: rand.New(rand.NewPCG(5, 6)), free: map[string]float64{}, tries: map[string]int{}, slots: map[string]float64{},
+		came: map[string]float64{}, first: map[string]float64{}, refused: map[string]float64{}, failed: map[string]bool{}, silent: map[string]bool{}, run: 0.2}
+	list := fleet(workers)
+	for _, w := range list {
+		s.free[w.ID] = slots
+	}
+	s.after(0, RosterUpdate{Kind: RosterSaved, Workers: list}, nil)
+	return s
+}
+
+func (s *fleetSim) after(d float64, e Event, do func()) {
+	s.n++
+	heap.Push(&s.due, simEvent{s.now + d, s.n, e, do})
+}
+
+func (s *fleetSim) job(class, tenant string, slots, left float64) string {
+	s.n++
+	id := fmt.Sprint(class, s.n)
+	s.came[id], s.slots[id] = s.now, slots
+	s.after(0, JobArrived{ID: id, Class: class, Tenant: tenant, Left: left, Slots: slots}, nil)
+	return id
+}
+
+// stream has jobs come evenly at a rate.
+func (s *fleetSim) stream(class, tenant string, slots, rate, left float64) {
+	var next func()
+	next = func() {
+		s.job(class, tenant, slots, left)
+		s.after(1/rate, nil, next)
+	}
+	s.after(s.rng.Float64()/rate, nil, next)
+}
+
+func (s *fleetSim) play(until float64) {
+	for len(s.due) > 0 && s.due[0].at <= until {
+		x := heap.Pop(&s.due).(simEvent)
+		s.now = x.at
+		if x.do != nil {
+			x.do()
+		}
+		if x.e == nil {
+			continue
+		}
+		for _, a := range s.b.Step(s.now, []Event{x.e}) {
+			switch a := a.(type) {
+			case SetTimer:
+				s.after(a.After, TimerFired{}, nil)
+			case Probe:
+				s.after(0.005, ProbeDone{Worker: a.Worker, Outcome: Served, Report: []float64{max(0, s.free[a.Worker])}}, nil)
+			case Refuse:
+				s.refused[a.ID] = s.now
+			case Fail:
+				s.failed[a.ID] = true
+			case Send:
+				k := s.tries[a.ID]
+				s.tries[a.ID]++
+				if k == 0 {
+					s.first[a.ID] = s.now
+				}
+				if s.free[a.Worker] < s.slots[a.ID] {
+					s.after(0.002, AttemptDone{ID: a.ID, Attempt: k, Worker: a.Worker, Outcome: Full}, nil)
+					continue
+				}
+				s.free[a.Worker] -= s.slots[a.ID]
+				s.after(0.002, AttemptStarted{ID: a.ID, Attempt: k}, nil)
+				if s.silent[a.Worker] {
+					continue
+				}
+				s.after(0.002+s.run*s.rng.ExpFloat64(), nil, func() {
+					s.free[a.Worker] += s.slots[a.ID]
+					s.after(0, AttemptDone{ID: a.ID, Attempt: k, Worker: a.Worker, Outcome: Served, Closed: true, Report: []float64{s.free[a.Worker]}}, nil)
+				})
+			}
+		}
+	}
+	s.now = until
+}
+
+// waits are the longest wait for a first hop of admitted jobs of a class, how
+// many were sent, refused as they came, and not sent at all in the end.
+func (s *fleetSim) waits(class string) (worst float64, sent, refused, starved int) {
+	for id, came := range s.came {
+		if !strings.HasPrefix(id, class) {
+			continue
+		}
+		at, ok := s.first[id]
+		r, no := s.refused[id]
+		switch {
+		case ok:
+			sent++
+			worst = max(worst, at-came)
+		case no && r-came < 0.05:
+			refused++
+		case no:
+			starved++
+			worst = max(worst, r-came)
+		default:
+			starved++
+			worst = max(worst, s.now-came)
+		}
+	}
+	return
+}
+
+func agingConfig(maxWait float64) Config {
+	cfg := base()
+	cfg.Classes = []Class{
+		{Name: "hi", Aim: 0.5, Deadline: 3, Worth: 10, Repeat: Safe},
+		{Name: "lo", Aim: 9, Deadline: 12, Worth: 1, Repeat: Unsafe, MaxWait: maxWait},
+		{Name: "wide", Aim: 9, Deadline: 12, Worth: 2, Repeat: Unsafe, MaxWait: maxWait},
+	}
+	cfg.Tenants = []Tenant{{Name: "a", Quota: 200}}
+	cfg.ProbeCharge, cfg.MarksRetry, cfg.MaxRetryAfter = 0.01, true, 2
+	return cfg
+}
+
+// Under a sustained stream of dearer jobs at 120% of the fleet, cheap ones and
+// wide ones are sent within their longest wait or refused as they come; the
+// stream loses little. Without the promise they starve.
+func TestAgeing(t *testing.T) {
+	play := func(maxWait float64) *fleetSim {
+		s := newSim(t, agingConfig(maxWait), 8, 4) // 160 slots a second
+		s.stream("hi", "a", 1, 1.2*160, 3)
+		s.stream("lo", "a", 1, 6, 12)
+		s.stream("wide", "a", 4, 0.5, 12)
+		s.play(140)
+		for id, came := range s.came { // those that came last have not had their time
+			if came > 140-4 {
+				delete(s.came, id)
+			}
+		}
+		return s
+	}
+	const most = 4.0
+	with, without := play(most), play(0)
+	for _, class := range []string{"lo", "wide"} {
+		worst, sent, refused, starved := with.waits(class)
+		was, wasSent, _, wasStarved := without.waits(class)
+		t.Logf("%s: worst %.2f s, %d sent, %d refused, %d starved; without: worst %.2f s, %d sent, %d starved", class, worst, sent, refused, starved, was, wasSent, wasStarved)
+		if worst > most || starved > 0 || sent == 0 {
+			t.Errorf("%s: worst wait %.2f s, %d sent, %d starved", class, worst, sent, starved)
+		}
+		if was <= most {
+			t.Errorf("%s: waits at most %.2f s without the promise: the test shows nothing", class, was)
+		}
+	}
+	_, hi, _, _ := with.waits("hi")
+	_, all, _, _ := without.waits("hi")
+	if float64(hi) < 0.95*float64(all) {
+		t.Errorf("the stream has %d jobs sent, %d without the promise", hi, all)
+	}
+	t.Logf("hi: %d sent, %d without", hi, all)
+}
+
+// More than a small part of what is started is not promised: the rest is
+// refused as it comes, with a time to come back, and what is admitted is held.
+func TestAgeingFlood(t *testing.T) {
+	s := newSim(t, agingConfig(4), 8, 4)
+	s.stream("hi", "a", 1, 1.2*160, 3)
+	s.stream("lo", "a", 1, 100, 12)
+	s.play(130)
+	for id, came := range s.came {
+		if came > 126 {
+			delete(s.came, id)
+		}
+	}
+	worst, sent, refused, starved := s.waits("lo")
+	if worst > 4 || starved > 0 || refused < sent || sent < 50 {
+		t.Errorf("worst %.2f s, %d sent, %d refused, %d starved", worst, sent, refused, starved)
+	}
+}
--- a/balance/api.go
+++ b/balance/api.go
@@ -44,6 +44,7 @@
 	Repeat    Repeat  // required
 	Scope     Scope   // for Keyed; empty means no scope, hence no repeat
 	Window    float64 // for Keyed: how long repeats are recognised
+	MaxWait   float64 // a job is sent for the first time within that or refused as it comes; 0 means no promise
 	Kind      string  // the only kind of worker that runs it; empty means any
 }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,7 +2,7 @@
 
 // Every decision is here: figures, event dispatch, tags (which tenant's job goes next),
 // worker estimate (who has room), pick (which worker), outcomes (what an end means),
-// roster and probes, timers. The mechanism is RBFQ of the RePAIR paper, section 3: each
+// roster and probes. The mechanism is RBFQ of the RePAIR paper, section 3: each
 // tenant has a local tag, spaced by its reservation, and a global tag, spaced by its
 // weight, both against the real clock. docs/design.md says what was changed and why.
 
@@ -50,6 +50,8 @@
 	trialPassed  = 3     // successes in a row that end a probation
 	poolBase     = 5     // workers that a dispatcher with nothing out looks at, twice as many without probes
 	poolMore     = 3     // and as many more for each attempt out
+	agedAt       = 0.5   // part of its longest wait after which a job goes before the tags
+	agedPart     = 0.05  // of what is started here that jobs with a longest wait may be promised
 	lookMost     = 16    // jobs of a shape looked at from either end of a long queue
 	leastSlice   = 1e-6  // of a reservation, so that a tag stays a time
 	advised      = 0.125 // part of the wait here that a refused client is told, as others have room earlier
@@ -152,6 +154,12 @@
 	if e.Fresh || b.cfg.MarksRetry && !e.Retry && b.hopeless(j) {
 		j.born = b.now // a client in a hurry, not an old job
 	}
+	// What can't be held is refused now. One of each class always gets its turn; others wait
+	// for all before them, which may take a small part of what is started here.
+	if turn := b.agedTurn(j); c.ageing > 0.5 && turn > (1-agedAt)*c.MaxWait {
+		b.do(Refuse{j.id, min(turn, b.cfg.MaxRetryAfter)})
+		return
+	}
 	b.jobs[j.id] = j
 	b.meanSlots.add(j.size())
 	t.price.add(j.price())
@@ -176,6 +184,7 @@
 	}
 	j.since = b.now
 	t.queue.add(j)
+	b.aging.add(j)
 }
 
 // shift moves all global tags so that the smallest of the waiting is now.
@@ -235,12 +244,38 @@
 	if b.best < 1-doubt {
 		return // no job takes less than a slot
 	}
+	b.releaseAged()
 	for _, late := range []bool{false, true} {
 		for b.releaseOne(late) {
 		}
 	}
 }
 
+// agedTurn is how long a job that is promised a turn waits for those before it.
+func (b *Balancer) agedTurn(j *job) float64 {
+	return b.span.or(j.class.Aim, 1) * (b.aging.size + j.size()) / (agedPart * float64(max(b.out, 1)))
+}
+
+func (b *Balancer) aged(j *job) bool { return b.now >= j.ageing-(1-agedAt)*j.class.MaxWait }
+
+// releaseAged sends jobs that have waited for long, the one whose time ends first at first,
+// charged as usual. Danger: a wide one never finds its slots free together, since each one
+// goes to a smaller job. So the first that finds no room has a worker kept free for it; no
+// job is let past there, for how long it runs is not known. May hurt while that one drains.
+func (b *Balancer) releaseAged() {
+	b.kept, b.keptFor = nil, nil
+	for _, j := range b.aging.sorted(b.aged) {
+		t := j.tenant
+		t.tag = max(t.local, j.arrived)
+		if w := b.pick(j); w != nil {
+			t.local = t.tag
+			b.send(j, w, b.due(t))
+		} else if b.kept == nil && j.slots > 1 {
+			b.keptFor, b.kept = j, b.roomiest(j)
+		}
+	}
+}
+
 func (b *Balancer) releaseOne(late bool) bool {
 	order := make([]*tenant, 0, len(b.tenants))
 	for _, t := range b.tenants {
@@ -505,6 +540,7 @@
 	wary := caution * (1 - b.blind()) * b.misses.or(0, 2)
 	return b.draw(func(w *worker) float64 {
 		here := j.out > 0 && slices.ContainsFunc(w.tries, func(a *attempt) bool { return a.job == j })
+		here = here || w == b.kept && j != b.keptFor
 		if here || j.class.Kind != "" && j.class.Kind != w.Kind || !b.mayRepeat(j, w) {
 			return 0
 		}
@@ -875,7 +911,7 @@
 		t.queue.end.while(ends, note)
 		slices.SortFunc(look, before)
 		for _, j := range slices.Compact(look) {
-			late := b.hopeless(j) && j.out == 0
+			late := b.hopeless(j) && j.out == 0 && j.heaps[3] < 0 // what ages is promised its turn
 			switch {
 			case ends(j), b.stuck(j):
 				b.answer(j)
@@ -1043,41 +1079,3 @@
 		b.full(w)
 	}
 }
-
-// ---- Timers ----
-
-// arm keeps one timer ahead for the next look at what waits or is to be asked.
-func (b *Balancer) arm() {
-	next := math.Inf(1)
-	if b.cfg.AskRoster && !b.roster.subscribed {
-		next = max(b.roster.next, b.now+busyWake)
-	}
-	if b.downs() {
-		next = min(next, b.now+idleWake)
-	}
-	if len(b.unseen) > 0 {
-		next = b.now + busyWake
-	}
-	for _, t := range b.tenants {
-		if t.queue.n == 0 {
-			continue
-		}
-		// The longer one has waited, the less is a moment.
-		next = min(next, b.now+max(busyWake, (b.now-t.queue.young.list[0].since)/5))
-		for _, h := range t.queue.born {
-			if j := h.while(func(j *job) bool { return b.hope(j) <= b.now }, nil); j != nil {
-				next = min(next, b.hope(j)+b.cfg.Tick)
-			}
-		}
-		end := func(j *job) float64 { return j.deadline - busyWake - b.cfg.Tick }
-		if j := t.queue.end.while(func(j *job) bool { return end(j) <= b.now }, nil); j != nil {
-			next = min(next, end(j)+b.cfg.Tick)
-		}
-	}
-	// A timer may fire a rounding early: within half a tick it counts as fired.
-	if b.wakeAt > b.now+b.cfg.Tick/2 && b.wakeAt <= next || math.IsInf(next, 1) {
-		return
-	}
-	b.wakeAt = max(next, b.now+b.cfg.Tick)
-	b.do(SetTimer{b.wakeAt - b.now})
-}
--- a/balance/config.go
+++ b/balance/config.go
@@ -40,6 +40,7 @@
 			return fmt.Errorf("%sRepeat: unknown %q", at, k.Repeat)
 		}
 		figures[at+"Aim"], figures[at+"Stretch"], figures[at+"Deadline"] = k.Aim, k.Stretch, k.Deadline
+		figures[at+"MaxWait"] = k.MaxWait
 		figures[at+"Worth"], figures[at+"LateWorth"], figures[at+"Window"] = k.Worth, k.LateWorth, k.Window
 	}
 	for i := range c.Tenants {
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -28,7 +28,7 @@
 	group *group
 	seq   uint64 // of its joining
 	at    int    // in its group
-	heaps [3]int // end, young, born
+	heaps [4]int // end, young, born, ageing; the last is -1 for jobs that do not age
 }
 
 // before is the order of a queue: by arrival, then by joining.
@@ -55,7 +55,7 @@
 	}
 	q.seq++
 	q.n, q.size = q.n+1, q.size+j.size()
-	j.place = place{in: q, seq: q.seq}
+	j.place = place{in: q, seq: q.seq, heaps: [4]int{3: -1}}
 	s := shape{j.class, j.slots, j.mem, len(j.tries) > 0}
 	g := q.shapes[s]
 	if g == nil {
@@ -232,3 +232,38 @@
 	}
 	return next
 }
+
+// agingQueue holds the waiting jobs, of all tenants, that have a longest wait for their
+// first hop, by when it is over.
+type agingQueue struct {
+	jobHeap
+	size float64
+}
+
+func (q *agingQueue) add(j *job) {
+	if j.class.MaxWait > 0 && len(j.tries) == 0 {
+		if q.less == nil {
+			q.jobHeap = jobHeap{slot: 3, less: func(a, b *job) bool { return a.ageing < b.ageing }}
+		}
+		j.ageing = j.arrived + j.class.MaxWait
+		q.size, j.class.ageing = q.size+j.size(), j.class.ageing+j.size()
+		heap.Push(q, j)
+	}
+}
+
+func (q *agingQueue) drop(j *job) {
+	if j.heaps[3] >= 0 {
+		q.size, j.class.ageing = q.size-j.size(), j.class.ageing-j.size()
+		heap.Remove(q, j.heaps[3])
+		if len(q.list) == 0 {
+			q.size = 0 // no rounding is carried on
+		}
+	}
+}
+
+// sorted are the first jobs in order for which ok holds.
+func (q *agingQueue) sorted(ok func(*job) bool) (list []*job) {
+	q.while(ok, func(j *job) { list = append(list, j) })
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(cmp.Compare(a.ageing, b.ageing), before(a, b)) })
+	return list
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -37,6 +37,7 @@
 	Class
 	run      mean    // time from start to end, over all workers
 	fullLeft float64 // longest patience seen: that of a first try
+	ageing   float64 // size of its jobs that are promised a turn and have not had it
 }
 
 // work is the expected running time of a job on a middling worker.
@@ -66,6 +67,7 @@
 	arrived  float64
 	since    float64 // when it last joined the queue
 	deadline float64
+	ageing   float64 // when its longest wait is over
 	slots    float64
 	mem      float64
 	tries    []*attempt
@@ -153,6 +155,9 @@
 	order   []*worker  // all, in this dispatcher's own order
 	pool    []*worker  // those that the present step may send to
 	watch   []*worker  // the same with those that rest or cannot be reached
+	aging   agingQueue // what is promised a turn and has not had one
+	kept    *worker    // kept free for an aged job, in this step
+	keptFor *job
 	cold    []*worker  // those that started of late
 	open    []*worker  // those of them that this dispatcher may send to now
 	coldAt  float64    // when that is looked at again
@@ -232,6 +237,7 @@
 
 func (b *Balancer) unqueue(j *job) {
 	if j.in != nil {
+		b.aging.drop(j)
 		j.in.remove(j)
 	}
 }
@@ -258,6 +264,16 @@
 	return slices.ContainsFunc(b.watch, func(w *worker) bool { return w.down })
 }
 
+// roomiest is the worker of the pool that lacks least of what a job needs.
+func (b *Balancer) roomiest(j *job) (found *worker) {
+	for _, w := range b.pool {
+		if (j.class.Kind == "" || j.class.Kind == w.Kind) && b.trusted(j, w) && (found == nil || w.est > found.est) {
+			found = w
+		}
+	}
+	return found
+}
+
 // size is what a job counts for in tags: its slots, or its memory where that takes
 // more of a worker (which has a unit of it for each slot).
 func (j *job) size() float64 { return max(j.slots, j.mem) }
@@ -295,3 +311,45 @@
 	}
 	return a
 }
+
+// arm keeps one timer ahead for the next look at what waits or is to be asked.
+func (b *Balancer) arm() {
+	next := math.Inf(1)
+	if b.cfg.AskRoster && !b.roster.subscribed {
+		next = max(b.roster.next, b.now+busyWake)
+	}
+	if b.downs() {
+		next = min(next, b.now+idleWake)
+	}
+	if len(b.unseen) > 0 {
+		next = b.now + busyWake
+	}
+	if j := b.aging.while(b.aged, nil); j != nil {
+		next = min(next, j.ageing-(1-agedAt)*j.class.MaxWait+b.cfg.Tick)
+	}
+	if len(b.aging.list) > 0 && b.aged(b.aging.list[0]) {
+		next = min(next, b.now+busyWake)
+	}
+	for _, t := range b.tenants {
+		if t.queue.n == 0 {
+			continue
+		}
+		// The longer one has waited, the less is a moment.
+		next = min(next, b.now+max(busyWake, (b.now-t.queue.young.list[0].since)/5))
+		for _, h := range t.queue.born {
+			if j := h.while(func(j *job) bool { return b.hope(j) <= b.now }, nil); j != nil {
+				next = min(next, b.hope(j)+b.cfg.Tick)
+			}
+		}
+		end := func(j *job) float64 { return j.deadline - busyWake - b.cfg.Tick }
+		if j := t.queue.end.while(func(j *job) bool { return end(j) <= b.now }, nil); j != nil {
+			next = min(next, end(j)+b.cfg.Tick)
+		}
+	}
+	// A timer may fire a rounding early: within half a tick it counts as fired.
+	if b.wakeAt > b.now+b.cfg.Tick/2 && b.wakeAt <= next || math.IsInf(next, 1) {
+		return
+	}
+	b.wakeAt = max(next, b.now+b.cfg.Tick)
+	b.do(SetTimer{b.wakeAt - b.now})
+}
--- a/deploy/bellstream.hcl
+++ b/deploy/bellstream.hcl
@@ -46,3 +46,10 @@
   remember  = "60s"    # how jobs ended
   ended     = 100000   # ends remembered at most
 }
+
+# Jobs of these classes are sent within the time, or refused as they come. A
+# class is named once; it must be one of the platform's configuration.
+# ageing {
+#   max_wait = "5s"
+#   classes  = ["sone-oppslag"]
+# }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -66,6 +66,8 @@
 	Settings *settings.Settings
 	Seed     uint64
 	Known    []byte
+	// Ageing is the longest wait for a first hop, in seconds, that classes are promised.
+	Ageing map[string]float64
 	// Discovery is where Watch asks; Redirect changes it.
 	Discovery string
 	Watch     func(ctx context.Context, discovery string, seq int64, each func(*route.Update)) error
@@ -158,7 +160,11 @@
 	if o.Settings.Round < 0 || o.Settings.Round > 1 {
 		return nil, fmt.Errorf("round: %v is not a time from 0 to 1 s", o.Settings.Round)
 	}
-	b, err := balance.New(o.Settings.Config(), o.Seed)
+	cfg := o.Settings.Config()
+	for i := range cfg.Classes {
+		cfg.Classes[i].MaxWait = o.Ageing[cfg.Classes[i].Name]
+	}
+	b, err := balance.New(cfg, o.Seed)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -31,6 +31,9 @@
 	// Waiting lets jobs wait for others, or for a time.
 	Waiting *Waiting `hcl:"waiting,block"`
 
+	// Ageing promises classes a longest wait.
+	Ageing []*Ageing `hcl:"ageing,block"`
+
 	path string
 	body *hclsyntax.Body
 }
@@ -81,6 +84,42 @@
 	Ended     *int   `hcl:"ended,optional"`
 }
 
+// Ageing promises jobs of some classes that they are sent within a time, or
+// refused as they come.
+type Ageing struct {
+	MaxWait string   `hcl:"max_wait"`
+	Classes []string `hcl:"classes"`
+}
+
+// Waits are the promised waits by class, in seconds. Lanes are the classes that
+// there are, with their deadlines; none: they are not checked.
+func (f *File) Waits(lanes []settings.Lane) (map[string]float64, error) {
+	waits := map[string]float64{}
+	for _, a := range f.Ageing {
+		d, err := time.ParseDuration(a.MaxWait)
+		if err != nil || d <= 0 {
+			return nil, f.Wrong("ageing", "max_wait", fmt.Errorf("%q is no duration above 0 such as \"5s\"", a.MaxWait))
+		}
+		for _, c := range a.Classes {
+			if waits[c] > 0 {
+				return nil, f.Wrong("ageing", "classes", fmt.Errorf("class %q is named twice", c))
+			}
+			waits[c] = d.Seconds()
+			if lanes == nil {
+				continue
+			}
+			i := slices.IndexFunc(lanes, func(l settings.Lane) bool { return l.Name == c })
+			if i < 0 {
+				return nil, f.Wrong("ageing", "classes", fmt.Errorf("there is no class %q", c))
+			}
+			if limit := lanes[i].HardLimit; limit > 0 && d.Seconds() >= limit {
+				return nil, f.Wrong("ageing", "max_wait", fmt.Errorf("%v is not below the deadline of class %q, %v s", d, c, limit))
+			}
+		}
+	}
+	return waits, nil
+}
+
 // Limits are those that the file gives for what waits.
 func (f *File) Limits() (waiting.Limits, error) {
 	l, w := waiting.Defaults(), f.Waiting
@@ -211,6 +250,9 @@
 	if _, err := f.Limits(); err != nil {
 		wrong = append(wrong, err)
 	}
+	if _, err := f.Waits(nil); err != nil {
+		wrong = append(wrong, err)
+	}
 	s, err := f.Shares(1)
 	if err != nil {
 		wrong = append(wrong, err)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -35,6 +35,8 @@
 		{peers + "}\ncounts {\n staleness = \"500ms\"\n}", "f.hcl:6: counts.staleness: 0.50 s is too short"},
 		{peers + "}\ncounts {\n instances = -1\n}", "f.hcl:6: counts.instances"},
 		{"waiting {\n grace = \"later\"\n}", "f.hcl:2: waiting.grace: \"later\" is no duration"},
+		{"ageing {\n max_wait = \"long\"\n classes = [\"c\"]\n}", "f.hcl:2: ageing.max_wait: \"long\""},
+		{"ageing {\n max_wait = \"5s\"\n classes = [\"c\", \"c\"]\n}", "f.hcl:3: ageing.classes: class \"c\" is named twice"},
 		{"waiting {\n jobs = 0\n}", "f.hcl:2: waiting.jobs: 0 is not above 0"},
 		{"waiting {\n bytes = \"much\"\n}", "f.hcl:2: "},
 		{"counts {\n floor = 0.1\n}", "f.hcl:1: counts.: has no effect"},
@@ -95,3 +97,22 @@
 		}
 	}
 }
+
+// A promise must be for a class that there is, and end before its deadline.
+func TestWaitsFitTheClasses(t *testing.T) {
+	lanes := []settings.Lane{{Name: "c", HardLimit: 4}, {Name: "d"}}
+	for text, want := range map[string]string{
+		"ageing {\n max_wait = \"3s\"\n classes = [\"c\"]\n}\nageing {\n max_wait = \"9s\"\n classes = [\"d\"]\n}": "",
+		"ageing {\n max_wait = \"3s\"\n classes = [\"x\"]\n}":                                                      "there is no class",
+		"ageing {\n max_wait = \"4s\"\n classes = [\"c\"]\n}":                                                      "not below the deadline",
+	} {
+		f, err := Parse("f.hcl", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		waits, err := f.Waits(lanes)
+		if want == "" && (err != nil || waits["c"] != 3 || waits["d"] != 9) || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: %v, %v", text, waits, err)
+		}
+	}
+}
--- a/internal/service/commands.go
+++ b/internal/service/commands.go
@@ -30,6 +30,9 @@
 		for _, w := range operator.Warnings(conf.Settings) {
 			fmt.Fprintf(out, "%s: warning: %s\n", config, w)
 		}
+		if _, err := f.Waits(conf.Settings.Lanes); err != nil {
+			return err
+		}
 		if f.Peers != nil {
 			s, b, err := f.Fit(max(conf.Settings.Balancers, 1), Tenants(conf.Settings))
 			if err != nil {
--- a/internal/service/parts.go
+++ b/internal/service/parts.go
@@ -61,6 +61,11 @@
 	} else if show != nil {
 		show.JSON("/peers", func() any { return nil })
 	}
+	var err error
+	if o.Ageing, err = op.Waits(conf.Settings.Lanes); err != nil {
+		p.close()
+		return nil, err
+	}
 	if op.Waiting != nil {
 		l, err := op.Limits()
 		if err != nil {
