--- /dev/null
+++ b/internal/lab/ageing.go
@@ -0,0 +1,157 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+)
+
+var ageingExperiment = Experiment{
+	Name:    "ageing",
+	About:   "A stream of dear jobs at 120% of the fleet, cheap and wide jobs beside it, at one real process.",
+	Without: []string{"ageing"},
+	Run:     runAgeing,
+}
+
+// What the cheap and the wide class are promised, and how much the dear class
+// may lose by it.
+const (
+	ageingWait = 4 * time.Second
+	ageingLoss = 0.05
+)
+
+// ageingRun is one pass.
+type ageingRun struct {
+	answers []Answer
+	jobs    []Job
+	began   time.Time
+	ended   time.Time
+}
+
+// playAgeing plays the load against a fresh process and fleet.
+func playAgeing(p Params, name string, ageing bool, span time.Duration) (*ageingRun, error) {
+	fleet, err := NewFleet(p.Seed, 12, 4, 300*time.Millisecond) // 160 slots a second
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	addr, err := freePort("127.0.0.1")
+	if err != nil {
+		return nil, err
+	}
+	config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":256,"sockets":8192},
+"known":%s,"settings":{"me":0,"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
+"lanes":[{"name":"dear","aim":0.8,"hard_limit":3,"value":10,"semantics":"safe"},
+ {"name":"cheap","aim":7,"hard_limit":9,"value":1,"semantics":"unsafe"},
+ {"name":"wide","aim":7,"hard_limit":9,"value":2,"semantics":"unsafe"}],
+"parties":[{"name":"t","quota_per_s":100}],
+"family_info":{"report_x0":"free slots","tells_start":true},"reporting":{"how":"pull","fields":["x0","waiting"]},"clients":{"marks_retry":true},
+"caps":{"cancelling":true,"probes":true,"retry_after":true,"max_retry_after":2,"dial_timeout":0.25,"keepalive":15,"max_attempts":3},
+"charges":{"probe":0.01},"rules":{"ask_every":10,"drain_grace":2,"grace_to_answer":0.016}}}`, name, addr, fleet.Discovery(), p.Seed, fleet.List())
+	file := "log {\n  level = \"info\"\n}\n"
+	if ageing {
+		file += fmt.Sprintf("ageing {\n  max_wait = %q\n  classes = [\"cheap\", \"wide\"]\n}\n", ageingWait.String())
+	}
+	d, err := NewDispatcher(p.Program, p.Out, name, config, file)
+	if err != nil {
+		return nil, err
+	}
+	d.Addr = addr
+	if err := d.Start(); err != nil {
+		return nil, err
+	}
+	defer d.Kill()
+	load := NewLoad(p.Seed, []string{addr})
+	defer load.Close()
+	ctx, stop := context.WithTimeout(context.Background(), span)
+	defer stop()
+	r := &ageingRun{began: time.Now()}
+	load.Play(ctx, p.Seed, []Stream{
+		{Tenant: "t", Class: "dear", Rate: 1.2 * 160, Patience: 3 * time.Second},
+		{Tenant: "t", Class: "cheap", Rate: 5, Patience: 9 * time.Second},
+		{Tenant: "t", Class: "wide", Slots: 4, Rate: 0.4, Patience: 9 * time.Second},
+	})
+	load.Wait()
+	r.ended = r.began.Add(span)
+	r.answers, r.jobs = load.Answers(), fleet.Jobs()
+	return r, nil
+}
+
+// judge says what became of a class by clients' clocks and workers' records.
+func (r *ageingRun) judge(class string) (worst time.Duration, ran, refused, starved int, slow time.Duration) {
+	first := map[string]time.Time{}
+	for _, j := range r.jobs {
+		if at, ok := first[j.ID]; !ok || j.At.Before(at) {
+			first[j.ID] = j.At
+		}
+	}
+	for _, a := range r.answers {
+		if a.Class != class {
+			continue
+		}
+		at, sent := first[a.ID]
+		switch {
+		case sent:
+			ran++
+			worst = max(worst, at.Sub(a.At))
+		case a.Status == 503 && a.Took < 250*time.Millisecond:
+			refused++
+			slow = max(slow, a.Took)
+		default: // taken in, and nobody ever got it
+			starved++
+			worst = max(worst, a.Took)
+		}
+	}
+	return
+}
+
+// dear is the worth of dear jobs that were answered in time, a second.
+func (r *ageingRun) dear() (worth float64) {
+	for _, a := range r.answers {
+		if a.Class == "dear" && a.Status == 200 && a.Took < 800*time.Millisecond {
+			worth += 10
+		}
+	}
+	return worth / r.ended.Sub(r.began).Seconds()
+}
+
+func runAgeing(p Params) (*Result, error) {
+	span := 60 * time.Second
+	if p.Quick {
+		span = 12 * time.Second
+	}
+	p.Log("today's way for %v", span)
+	today, err := playAgeing(p, "today", false, span)
+	if err != nil {
+		return nil, err
+	}
+	p.Log("with a longest wait of %v", ageingWait)
+	with, err := playAgeing(p, "ageing", p.Without != "ageing", span)
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{Size: fmt.Sprintf("12 workers of 4 slots, dear jobs at 120%%, %v, longest wait %v", span, ageingWait)}
+	worst, ran, refused, starved, slow := with.judge("cheap")
+	wideWorst, wideRan, wideRefused, wideStarved, wideSlow := with.judge("wide")
+	r.AtMost("an admitted cheap job waits for its first hop at most", ageingWait.Seconds(), worst.Seconds(), "s")
+	r.AtMost("an admitted job of four slots waits for its first hop at most", ageingWait.Seconds(), wideWorst.Seconds(), "s")
+	r.AtMost("admitted jobs that no worker ever got", 0, float64(starved+wideStarved), "jobs")
+	r.AtLeast("cheap jobs that ran", 5, float64(ran), "jobs")
+	r.AtLeast("jobs of four slots that ran", 1, float64(wideRan), "jobs")
+	r.AtMost("a refusal comes after the job at most", 0.05, max(slow, wideSlow).Seconds(), "s")
+	r.AtLeast("worth of the dear class against today's way", 1-ageingLoss, with.dear()/math.Max(today.dear(), 1), "part")
+	r.Note("cheap jobs refused as they came", float64(refused), "jobs")
+	r.Note("jobs of four slots refused as they came", float64(wideRefused), "jobs")
+	worst, ran, _, starved, _ = today.judge("cheap")
+	r.Note("today's way: longest wait of a cheap job", worst.Seconds(), "s")
+	r.Note("today's way: cheap jobs that ran", float64(ran), "jobs")
+	r.Note("today's way: cheap jobs that no worker ever got", float64(starved), "jobs")
+	worst, ran, _, starved, _ = today.judge("wide")
+	r.Note("today's way: longest wait of a job of four slots", worst.Seconds(), "s")
+	r.Note("today's way: jobs of four slots that ran", float64(ran), "jobs")
+	r.Note("today's way: jobs of four slots that no worker ever got", float64(starved), "jobs")
+	r.Note("worth of the dear class, a second", with.dear(), "worth")
+	r.Note("today's way: the same", today.dear(), "worth")
+	return r, nil
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -1,12 +1,14 @@
 package lab
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,6 +45,7 @@
 	name    string
 	addr    string
 	free    chan struct{}
+	turn    chan struct{} // who takes slots now
 	mu      sync.Mutex
 	waiting int
 	silent  time.Time // until when it takes jobs and says nothing
@@ -60,7 +63,7 @@
 func NewFleet(seed uint64, workers, slots int, mean time.Duration) (*Fleet, error) {
 	f := &Fleet{Slots: slots, Mean: mean, rng: rand.New(rand.NewPCG(seed, 0xf1ee7))}
 	for i := range workers {
-		w := &emulated{f: f, name: fmt.Sprintf("w-%02d", i), free: make(chan struct{}, slots)}
+		w := &emulated{f: f, name: fmt.Sprintf("w-%02d", i), free: make(chan struct{}, slots), turn: make(chan struct{}, 1)}
 		for range slots {
 			w.free <- struct{}{}
 		}
@@ -142,6 +145,28 @@
 	}
 }
 
+// take gets a job its slots. Wide ones take theirs one after the other, one job
+// at a time, so that no two hold a part of what both need.
+func (w *emulated) take(ctx context.Context, slots int) bool {
+	select {
+	case w.turn <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-w.turn }()
+	for got := range slots {
+		select {
+		case <-w.free:
+		case <-ctx.Done():
+			for range got {
+				w.free <- struct{}{}
+			}
+			return false
+		}
+	}
+	return true
+}
+
 func (w *emulated) load() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -160,6 +185,12 @@
 	}
 	tenant, entry, _ := strings.Cut(string(body), " ")
 	entry, fails := strings.CutSuffix(entry, " fail")
+	entry, wide, _ := strings.Cut(entry, " slots=")
+	slots, err := strconv.Atoi(wide)
+	if err != nil {
+		slots = 1
+	}
+	slots = max(1, min(slots, w.f.Slots))
 	id := r.Header.Get("Request-Id")
 	w.mu.Lock()
 	if w.waiting >= 2*w.f.Slots {
@@ -189,13 +220,11 @@
 	}
 	out.(http.Flusher).Flush()
 	left := func() { w.mu.Lock(); w.waiting--; w.mu.Unlock() }
-	select {
-	case <-w.free:
-		left()
-	case <-r.Context().Done():
+	if !w.take(r.Context(), slots) {
 		left()
 		return
 	}
+	left()
 	w.f.mu.Lock()
 	w.f.jobs[nth].Started = time.Now()
 	w.f.mu.Unlock()
@@ -204,7 +233,9 @@
 	case <-time.After(work):
 	case <-r.Context().Done():
 	}
-	w.free <- struct{}{}
+	for range slots {
+		w.free <- struct{}{}
+	}
 	w.f.mu.Lock()
 	w.f.jobs[nth].Done, w.f.jobs[nth].Failed = time.Now(), fails
 	w.f.mu.Unlock()
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -16,6 +16,7 @@
 type Stream struct {
 	Tenant, Class string
 	Entry         int     // index of the dispatcher
+	Slots         int     // of each job; 0 means 1
 	Rate          float64 // a second
 	Even          bool    // evenly spaced; false: Poisson
 	Patience      time.Duration
@@ -25,7 +26,9 @@
 type Answer struct {
 	At     time.Time // when it asked
 	Took   time.Duration
+	ID     string
 	Tenant string
+	Class  string
 	Entry  int
 	Status int // 0: no answer
 }
@@ -89,12 +92,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.Patience)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+s.Class,
-		strings.NewReader(fmt.Sprintf("%s %d", s.Tenant, s.Entry)))
+		strings.NewReader(fmt.Sprintf("%s %d slots=%d", s.Tenant, s.Entry, max(s.Slots, 1))))
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Request-Class", s.Class)
 	req.Header.Set("Tenant", s.Tenant)
 	req.Header.Set("Request-Timeout", fmt.Sprintf("%.3f", s.Patience.Seconds()))
-	a := Answer{At: time.Now(), Tenant: s.Tenant, Entry: s.Entry}
+	if s.Slots > 1 {
+		req.Header.Set("Request-Info", fmt.Sprintf("slots=%d", s.Slots))
+	}
+	a := Answer{At: time.Now(), ID: id, Tenant: s.Tenant, Class: s.Class, Entry: s.Entry}
 	if resp, err := l.client.Do(req); err == nil {
 		a.Status = resp.StatusCode
 		io.Copy(io.Discard, resp.Body)
