Let any job be a worker's trial where no class may be repeated

Cause: a worker that failed more than chance explains rests, then gets jobs that may run again, one at a time, until some are served. Where all classes are unsafe there are none: each such worker stayed out for ever.

Change: where no class may be repeated, one job at a time of any class is the trial. Sites that have a repeatable class decide as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,7 +70,7 @@
 		most: map[string]float64{}}
 	for _, c := range cfg.Classes {
 		b.classes[c.Name] = &class{Class: c}
-		b.kinded = b.kinded || c.Kind != ""
+		b.kinded, b.harmless = b.kinded || c.Kind != "", b.harmless || c.Repeat == Safe
 	}
 	for _, t := range cfg.Tenants {
 		b.addTenant(t)
@@ -594,9 +594,10 @@
 // Danger: a worker that fails fast always looks free and eats the traffic. It
 // rests, then gets one repeatable job at a time until it has served a few. So does one that
 // a list which can be wrong has added, warm, until something is heard of it: it may not be.
+// Where no class may be repeated any job is a trial, or such a worker would stay out for ever.
 func (b *Balancer) trusted(j *job, w *worker) bool {
 	trial := w.probation > 0 || w.stranger
-	return b.now >= w.rest && (!trial || w.busy == 0 && j.class.Repeat == Safe)
+	return b.now >= w.rest && (!trial || w.busy == 0 && (j.class.Repeat == Safe || !b.harmless))
 }
 
 // mayRepeat says whether the job may be sent to the worker at all: first tries
--- a/balance/failures_test.go
+++ b/balance/failures_test.go
@@ -316,3 +316,22 @@
 		}
 	}
 }
+
+// Found by a long run of jobs that must not run twice: workers that had failed some
+// waited for a trial that no job could give them, until none was left.
+func TestTrialWhereNothingMayBeRepeated(t *testing.T) {
+	for _, harmless := range []bool{true, false} {
+		cfg := base()
+		if !harmless {
+			cfg.Classes = cfg.Classes[1:2]
+		}
+		r := newRig(t, cfg, up("w")...)
+		r.step(r.report("w", 4))
+		w := r.b.byID["w"]
+		w.probation = trialPassed
+		got := of[Send](r.at(110, r.job("write", "a"), r.job("write", "a")))
+		if want := map[bool]int{true: 0, false: 1}[harmless]; len(got) != want {
+			t.Errorf("a class that may be repeated %v: %d sent to a worker on trial, want %d", harmless, len(got), want)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -143,40 +143,41 @@
 
 // Balancer decides for one dispatcher. Make one with New.
 type Balancer struct {
-	cfg     Config
-	rng     *rand.Rand
-	now     float64
-	acts    []Action
-	out     int // attempts without an outcome
-	classes map[string]*class
-	tenants []*tenant // in the order of the settings, unknown ones after them
-	byName  map[string]*tenant
-	jobs    map[string]*job
-	order   []*worker  // all, in this dispatcher's own order
-	pool    []*worker  // those that the present step may send to
-	watch   []*worker  // the same with those that rest or cannot be reached
-	aging   agingQueue // what is promised a turn and has not had one
-	kept    *worker    // kept free for an aged job, in this step
-	keptFor *job
-	cold    []*worker  // those that started of late
-	open    []*worker  // those of them that this dispatcher may send to now
-	coldAt  float64    // when that is looked at again
-	used    mean       // 1 for each turn at a cold worker in which a job was sent, 0 for others
-	turn    int        // looks so far
-	misses  mean       // 1 for each send turned away as full, 0 for each that started
-	prompt  mean       // 1 for each send of a repeatable job that started soon
-	failing mean       // 1 for each attempt that failed, 0 for each served; a job's first failure alone
-	helped  mean       // 1 for each repeat after an error that was served, 0 for each that failed
-	unseen  []*attempt // of repeatable jobs, not started as far as told
-	looked  float64    // when the last look was
-	best    float64    // most free slots of one of them
-	room    float64    // free slots in all of the pool, as estimated
-	asking  bool       // an answer to a probe may come at any moment
-	kinded  bool       // some class runs on one kind of worker only
-	byID    map[string]*worker
-	kinds   means              // running times against the fleet's
-	most    map[string]float64 // slots seen, by kind
-	zones   means              // free slots reported of late
+	cfg      Config
+	rng      *rand.Rand
+	now      float64
+	acts     []Action
+	out      int // attempts without an outcome
+	classes  map[string]*class
+	tenants  []*tenant // in the order of the settings, unknown ones after them
+	byName   map[string]*tenant
+	jobs     map[string]*job
+	order    []*worker  // all, in this dispatcher's own order
+	pool     []*worker  // those that the present step may send to
+	watch    []*worker  // the same with those that rest or cannot be reached
+	aging    agingQueue // what is promised a turn and has not had one
+	kept     *worker    // kept free for an aged job, in this step
+	keptFor  *job
+	cold     []*worker  // those that started of late
+	open     []*worker  // those of them that this dispatcher may send to now
+	coldAt   float64    // when that is looked at again
+	used     mean       // 1 for each turn at a cold worker in which a job was sent, 0 for others
+	turn     int        // looks so far
+	misses   mean       // 1 for each send turned away as full, 0 for each that started
+	prompt   mean       // 1 for each send of a repeatable job that started soon
+	failing  mean       // 1 for each attempt that failed, 0 for each served; a job's first failure alone
+	helped   mean       // 1 for each repeat after an error that was served, 0 for each that failed
+	unseen   []*attempt // of repeatable jobs, not started as far as told
+	looked   float64    // when the last look was
+	best     float64    // most free slots of one of them
+	room     float64    // free slots in all of the pool, as estimated
+	asking   bool       // an answer to a probe may come at any moment
+	harmless bool       // some class may be repeated
+	kinded   bool       // some class runs on one kind of worker only
+	byID     map[string]*worker
+	kinds    means              // running times against the fleet's
+	most     map[string]float64 // slots seen, by kind
+	zones    means              // free slots reported of late
 
 	meanSlots mean
 	span      mean    // running times, over all classes
--- a/internal/lab/waiting.go
+++ b/internal/lab/waiting.go
@@ -187,6 +187,13 @@
 	r.AtMost("unsafe jobs that ran twice", 0, twice, "jobs")
 	r.AtMost("cascades slower than 100 ms from the end to the answer", 0, slow, "jobs")
 	r.AtLeast("jobs that ran (so that the rest means something)", float64(jobs)/4, ran, "jobs")
+	for k := 0; k < jobs; k += int(5 * rate) { // what became of each five seconds' jobs
+		n := map[int]int{}
+		for i := k; i < min(jobs, k+int(5*rate)); i++ {
+			n[list[i].status]++
+		}
+		p.Log("%3.0f s: answers %v", float64(k)/rate, n)
+	}
 	reasons := map[string]int{}
 	for i := range list {
 		if w := &list[i]; w.status != http.StatusOK {
