Start the laboratory's single dispatchers in one place

Cause: the experiments waiting and ageing each wrote the same configuration out.

Change: one function starts the only dispatcher of a fleet with given classes.

--- a/internal/lab/ageing.go
+++ b/internal/lab/ageing.go
@@ -36,33 +36,18 @@
 		return nil, err
 	}
 	defer fleet.Close()
-	addr, err := freePort("127.0.0.1")
-	if err != nil {
-		return nil, err
-	}
-	config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":256,"sockets":8192},
-"known":%s,"settings":{"me":0,"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
-"lanes":[{"name":"dear","aim":0.8,"hard_limit":3,"value":10,"semantics":"safe"},
- {"name":"cheap","aim":7,"hard_limit":9,"value":1,"semantics":"unsafe"},
- {"name":"wide","aim":7,"hard_limit":9,"value":2,"semantics":"unsafe"}],
-"parties":[{"name":"t","quota_per_s":100}],
-"family_info":{"report_x0":"free slots","tells_start":true},"reporting":{"how":"pull","fields":["x0","waiting"]},"clients":{"marks_retry":true},
-"caps":{"cancelling":true,"probes":true,"retry_after":true,"max_retry_after":2,"dial_timeout":0.25,"keepalive":15,"max_attempts":3},
-"charges":{"probe":0.01},"rules":{"ask_every":10,"drain_grace":2,"grace_to_answer":0.016}}}`, name, addr, fleet.Discovery(), p.Seed, fleet.List())
 	file := "log {\n  level = \"info\"\n}\n"
 	if ageing {
 		file += fmt.Sprintf("ageing {\n  max_wait = %q\n  classes = [\"cheap\", \"wide\"]\n}\n", ageingWait.String())
 	}
-	d, err := NewDispatcher(p.Program, p.Out, name, config, file)
+	d, err := alone(p, fleet, name, `{"name":"dear","aim":0.8,"hard_limit":3,"value":10,"semantics":"safe"},
+ {"name":"cheap","aim":7,"hard_limit":9,"value":1,"semantics":"unsafe"},
+ {"name":"wide","aim":7,"hard_limit":9,"value":2,"semantics":"unsafe"}`, file)
 	if err != nil {
 		return nil, err
 	}
-	d.Addr = addr
-	if err := d.Start(); err != nil {
-		return nil, err
-	}
 	defer d.Kill()
-	load := NewLoad(p.Seed, []string{addr})
+	load := NewLoad(p.Seed, []string{d.Addr})
 	defer load.Close()
 	ctx, stop := context.WithTimeout(context.Background(), span)
 	defer stop()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -46,6 +46,26 @@
 	return d, nil
 }
 
+// alone starts the only dispatcher of a fleet, with these classes.
+func alone(p Params, fleet *Fleet, name, lanes, file string) (*Dispatcher, error) {
+	addr, err := freePort("127.0.0.1")
+	if err != nil {
+		return nil, err
+	}
+	config := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":512,"sockets":8192},
+"known":%s,"settings":{"me":0,"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,"lanes":[%s],
+"parties":[{"name":"t","quota_per_s":100}],
+"family_info":{"report_x0":"free slots","tells_start":true},"reporting":{"how":"pull","fields":["x0","waiting"]},"clients":{"marks_retry":true},
+"caps":{"cancelling":true,"probes":true,"retry_after":true,"max_retry_after":2,"dial_timeout":0.25,"keepalive":15,"max_attempts":3},
+"charges":{"probe":0.01},"rules":{"ask_every":10,"drain_grace":2,"grace_to_answer":0.016}}}`, name, addr, fleet.Discovery(), p.Seed, fleet.List(), lanes)
+	d, err := NewDispatcher(p.Program, p.Out, name, config, file)
+	if err != nil {
+		return nil, err
+	}
+	d.Addr = addr
+	return d, d.Start()
+}
+
 // Start starts the process and waits until it serves.
 func (d *Dispatcher) Start() error {
 	log, err := os.OpenFile(d.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
--- a/internal/lab/waiting.go
+++ b/internal/lab/waiting.go
@@ -41,28 +41,14 @@
 		return nil, err
 	}
 	defer fleet.Close()
-	addr, err := freePort("127.0.0.1")
-	if err != nil {
-		return nil, err
-	}
-	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":512,"sockets":8192},
-"known":%s,"settings":{"me":0,"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
-"lanes":[{"name":"job","aim":2,"aim_stretch":2,"hard_limit":20,"value":1,"late_worth":0.5,"semantics":"unsafe"}],
-"family_info":{"report_x0":"free slots","tells_start":true},"reporting":{"how":"pull","fields":["x0","waiting"]},
-"caps":{"cancelling":true,"probes":true,"retry_after":true,"max_retry_after":2,"dial_timeout":0.25,"keepalive":15,"max_attempts":3},
-"charges":{"probe":0.01},"rules":{"ask_every":10,"drain_grace":2,"grace_to_answer":0.016}}}`, addr, fleet.Discovery(), p.Seed, fleet.List())
 	file := "log {\n  level = \"info\"\n}\n"
 	if p.Without != "waiting" {
 		file += "waiting {\n  grace = \"2s\"\n}\n"
 	}
-	d, err := NewDispatcher(p.Program, p.Out, "n0", config, file)
+	d, err := alone(p, fleet, "n0", `{"name":"job","aim":2,"aim_stretch":2,"hard_limit":20,"value":1,"late_worth":0.5,"semantics":"unsafe"}`, file)
 	if err != nil {
 		return nil, err
 	}
-	d.Addr = addr
-	if err := d.Start(); err != nil {
-		return nil, err
-	}
 	defer d.Kill()
 
 	rng := rand.New(rand.NewPCG(p.Seed, 3))
@@ -101,7 +87,7 @@
 			if w.fails {
 				body += " fail"
 			}
-			req, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/job", strings.NewReader(body))
+			req, _ := http.NewRequest(http.MethodPost, "http://"+d.Addr+"/job", strings.NewReader(body))
 			req.Header.Set("Request-Id", w.id)
 			req.Header.Set("Request-Timeout", "15")
 			var after []string
