Keep as many jobs waiting in the benchmark of a release as its name says

Cause: BenchmarkCrowdedRelease let a job come in each turn but sent one in two of nine, so that '100 waiting' ended with thousands and the ratio from 100 to 100,000 looked better than it is.

Change: the client of one leaves where none was sent; the number that is left is reported.

--- a/balance/scale_test.go
+++ b/balance/scale_test.go
@@ -67,23 +67,33 @@
 	}
 }
 
-// A worker reports a slot, a job goes there and ends, another comes.
+// A worker reports a slot, a job goes there and ends, another comes; the client of
+// one leaves where none was sent, so that as many wait as before.
 func BenchmarkCrowdedRelease(b *testing.B) {
 	for _, c := range crowds {
 		b.Run(fmt.Sprint(c.waiting, "waiting-", c.workers, "workers"), func(b *testing.B) {
 			r, now, tries := crowd(b, c.waiting, c.workers)
-			sent := 0
+			sent, extra, gone := 0, 0, 0
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
 				now += 0.005
 				r.look()
-				acts := r.Step(now, []Event{JobArrived{ID: fmt.Sprint("n", i), Class: "read", Tenant: "a", Left: 1000},
-					ProbeDone{Worker: r.pool[i%len(r.pool)].ID, Outcome: Served, Report: []float64{1 + float64(i%2)}}})
+				events := []Event{JobArrived{ID: fmt.Sprint("n", i), Class: "read", Tenant: "a", Left: 1000},
+					ProbeDone{Worker: r.pool[i%len(r.pool)].ID, Outcome: Served, Report: []float64{1 + float64(i%2)}}}
+				for extra++; extra > 0 && gone <= i; gone++ {
+					if id := fmt.Sprint("n", gone); tries[id] == 0 {
+						events, extra = append(events, JobGone{id}), extra-1
+					}
+				}
+				acts := r.Step(now, events)
 				for o := Served; len(of[Send](acts)) > 0; o = Full { // what the end lets go finds no room
 					var ended []Event
 					for _, s := range of[Send](acts) {
 						sent++
+						if o == Served {
+							extra--
+						}
 						n := tries[s.ID]
 						tries[s.ID]++
 						ended = append(ended, AttemptStarted{ID: s.ID, Attempt: n}, AttemptDone{ID: s.ID, Attempt: n, Worker: s.Worker, Outcome: o,
@@ -92,7 +102,13 @@
 					acts = r.Step(now, ended)
 				}
 			}
+			b.StopTimer()
+			left := 0
+			for _, t := range r.tenants {
+				left += t.queue.n
+			}
 			b.ReportMetric(float64(sent)/float64(b.N), "sent/op")
+			b.ReportMetric(float64(left), "waiting")
 		})
 	}
 }
