Add a tool that stands between sockets and breaks them at a point of the protocol

Need: silent workers, half-closes and garbled chunks have to be caused at will, between programs that know nothing of it, in tests and by hand.

Change: internal/fault decides (rules, points of HTTP/1.1, seeded draws; no clock, no I/O), internal/faultline plays it on sockets, and bellstream-fault runs a file's schedule or takes commands. Mistakes are named by file, line and key; the operator's file shares that code (internal/hclfile), which also names the right one of several blocks now.

--- /dev/null
+++ b/internal/fault/file.go
@@ -0,0 +1,151 @@
+package fault
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"example.org/bellstream/internal/hclfile"
+)
+
+// Door is a place where clients connect and the target that they reach there.
+type Door struct {
+	Name    string `hcl:"name,label" json:"name"`
+	Listen  string `hcl:"listen" json:"listen"`
+	Target  string `hcl:"target" json:"target"`
+	Network string `hcl:"network,optional" json:"network"` // tcp or udp
+}
+
+// File is the tool's settings.
+type File struct {
+	Seed  uint64
+	Admin string // for commands; empty: none
+	Log   string // empty: standard error
+	Doors []Door
+	Rules []Rule
+}
+
+type fileBody struct {
+	Seed   uint64   `hcl:"seed,optional"`
+	Admin  string   `hcl:"admin,optional"`
+	Log    string   `hcl:"log,optional"`
+	Doors  []Door   `hcl:"door,block"`
+	Faults []*entry `hcl:"fault,block"`
+}
+
+// entry is a rule as it is written. Text that comes from commands has the same keys.
+type entry struct {
+	Kind   string   `hcl:"kind,label"`
+	Doors  []string `hcl:"doors,optional"`
+	Side   string   `hcl:"side,optional"`
+	At     string   `hcl:"at,optional"`
+	For    string   `hcl:"for,optional"`
+	Part   float64  `hcl:"part,optional"`
+	Delay  string   `hcl:"delay,optional"`
+	Jitter string   `hcl:"jitter,optional"`
+	Rate   float64  `hcl:"rate,optional"`
+	Loss   float64  `hcl:"loss,optional"`
+	Byte   int64    `hcl:"byte,optional"`
+	After  string   `hcl:"after,optional"`
+	Nth    int      `hcl:"nth,optional"`
+	Text   string   `hcl:"text,optional"`
+}
+
+func (e *entry) rule() (r Rule, err error) {
+	r = Rule{Kind: Kind(e.Kind), Doors: e.Doors, Side: Side(e.Side), Part: e.Part, Rate: e.Rate, Loss: e.Loss,
+		Byte: e.Byte, After: e.After, Nth: e.Nth, Text: e.Text}
+	for _, x := range []struct {
+		key, text string
+		to        *float64
+	}{{"at", e.At, &r.At}, {"for", e.For, &r.For}, {"delay", e.Delay, &r.Delay}, {"jitter", e.Jitter, &r.Jitter}} {
+		if x.text == "" {
+			continue
+		}
+		d, err := time.ParseDuration(x.text)
+		if err != nil || d < 0 {
+			return r, wrong(x.key, "%q is no duration such as \"1.5s\"", x.text)
+		}
+		*x.to = d.Seconds()
+	}
+	return r, nil
+}
+
+// Parse reads the tool's file. Mistakes are named by file, line and key.
+func Parse(name string, raw []byte) (*File, error) {
+	var b fileBody
+	text, err := hclfile.Decode(name, raw, &b)
+	if err != nil {
+		return nil, err
+	}
+	f := &File{Seed: b.Seed, Admin: b.Admin, Log: b.Log, Doors: b.Doors}
+	var all []error
+	bad := func(block string, nth int, key string, err error) {
+		all = append(all, text.Wrong(block, nth, key, err))
+	}
+	if f.Admin != "" {
+		if _, _, err := net.SplitHostPort(f.Admin); err != nil {
+			bad("", 0, "admin", err)
+		}
+	}
+	if len(f.Doors) == 0 {
+		bad("", 0, "door", errors.New("there is none"))
+	}
+	doors := map[string]string{}
+	for i := range f.Doors {
+		d := &f.Doors[i]
+		if d.Network == "" {
+			d.Network = "tcp"
+		}
+		if !slices.Contains([]string{"tcp", "udp"}, d.Network) {
+			bad("door", i, "network", fmt.Errorf("%q is none of tcp, udp", d.Network))
+		}
+		if doors[d.Name] != "" {
+			bad("door", i, "name", fmt.Errorf("%q is there twice", d.Name))
+		}
+		doors[d.Name] = d.Network
+		for _, x := range [][2]string{{"listen", d.Listen}, {"target", d.Target}} {
+			if _, _, err := net.SplitHostPort(x[1]); err != nil {
+				bad("door", i, x[0], err)
+			}
+		}
+	}
+	for i, e := range b.Faults {
+		r, err := e.rule()
+		if err == nil {
+			err = r.Check(doors)
+		}
+		var w *Wrong
+		if errors.As(err, &w) {
+			bad("fault", i, w.Key, errors.New(w.Why))
+		}
+		f.Rules = append(f.Rules, r)
+	}
+	if len(all) > 0 {
+		return nil, errors.Join(all...)
+	}
+	return f, nil
+}
+
+// Command reads a rule that comes as JSON, with the keys of the file and its kind
+// beside them.
+func Command(raw []byte, doors []Door) (Rule, error) {
+	var e entry
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&e); err != nil {
+		return Rule{}, fmt.Errorf("fault: %w", err)
+	}
+	r, err := e.rule()
+	if err != nil {
+		return r, err
+	}
+	networks := map[string]string{}
+	for _, d := range doors {
+		networks[d.Name] = d.Network
+	}
+	return r, r.Check(networks)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,10 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclsyntax"
-
+	"example.org/bellstream/internal/hclfile"
 	"example.org/bellstream/internal/logging"
 	"example.org/bellstream/internal/settings"
 	"example.org/bellstream/internal/shares"
@@ -34,8 +31,7 @@
 	// Ageing promises classes a longest wait.
 	Ageing []*Ageing `hcl:"ageing,block"`
 
-	path string
-	body *hclsyntax.Body
+	text *hclfile.Text
 }
 
 // Log says what is logged and how.
@@ -95,25 +91,25 @@
 // there are, with their deadlines; none: they are not checked.
 func (f *File) Waits(lanes []settings.Lane) (map[string]float64, error) {
 	waits := map[string]float64{}
-	for _, a := range f.Ageing {
+	for i, a := range f.Ageing {
 		d, err := time.ParseDuration(a.MaxWait)
 		if err != nil || d <= 0 {
-			return nil, f.Wrong("ageing", "max_wait", fmt.Errorf("%q is no duration above 0 such as \"5s\"", a.MaxWait))
+			return nil, f.text.Wrong("ageing", i, "max_wait", fmt.Errorf("%q is no duration above 0 such as \"5s\"", a.MaxWait))
 		}
 		for _, c := range a.Classes {
 			if waits[c] > 0 {
-				return nil, f.Wrong("ageing", "classes", fmt.Errorf("class %q is named twice", c))
+				return nil, f.text.Wrong("ageing", i, "classes", fmt.Errorf("class %q is named twice", c))
 			}
 			waits[c] = d.Seconds()
 			if lanes == nil {
 				continue
 			}
-			i := slices.IndexFunc(lanes, func(l settings.Lane) bool { return l.Name == c })
-			if i < 0 {
-				return nil, f.Wrong("ageing", "classes", fmt.Errorf("there is no class %q", c))
+			at := slices.IndexFunc(lanes, func(l settings.Lane) bool { return l.Name == c })
+			if at < 0 {
+				return nil, f.text.Wrong("ageing", i, "classes", fmt.Errorf("there is no class %q", c))
 			}
-			if limit := lanes[i].HardLimit; limit > 0 && d.Seconds() >= limit {
-				return nil, f.Wrong("ageing", "max_wait", fmt.Errorf("%v is not below the deadline of class %q, %v s", d, c, limit))
+			if limit := lanes[at].HardLimit; limit > 0 && d.Seconds() >= limit {
+				return nil, f.text.Wrong("ageing", i, "max_wait", fmt.Errorf("%v is not below the deadline of class %q, %v s", d, c, limit))
 			}
 		}
 	}
@@ -176,46 +172,17 @@
 
 // Parse decodes a file's text and checks what can be checked by itself.
 func Parse(path string, raw []byte) (*File, error) {
-	parsed, diags := hclsyntax.ParseConfig(raw, path, hcl.InitialPos)
-	if diags.HasErrors() {
-		return nil, plain(diags)
-	}
-	f := &File{path: path, body: parsed.Body.(*hclsyntax.Body)}
-	if diags := gohcl.DecodeBody(parsed.Body, nil, f); diags.HasErrors() {
-		return nil, plain(diags)
+	f := &File{}
+	text, err := hclfile.Decode(path, raw, f)
+	if err != nil {
+		return nil, err
 	}
+	f.text = text
 	return f, f.check()
 }
 
-// plain turns diagnostics into lines of file:line: what.
-func plain(diags hcl.Diagnostics) error {
-	var list []error
-	for _, d := range diags {
-		at := ""
-		if d.Subject != nil {
-			at = fmt.Sprintf("%s:%d: ", d.Subject.Filename, d.Subject.Start.Line)
-		}
-		list = append(list, fmt.Errorf("%s%s: %s", at, strings.TrimSuffix(d.Summary, "."), strings.ReplaceAll(d.Detail, "\n", " ")))
-	}
-	return errors.Join(list...)
-}
-
 // Wrong is a mistake at a key of a block: file, line, block.key, what.
-func (f *File) Wrong(block, key string, err error) error {
-	line := 1
-	for _, b := range f.body.Blocks {
-		if b.Type == block {
-			line = b.TypeRange.Start.Line
-			if a := b.Body.Attributes[key]; a != nil {
-				line = a.SrcRange.Start.Line
-			}
-		}
-	}
-	if key != "" {
-		key = "." + key
-	}
-	return fmt.Errorf("%s:%d: %s%s: %w", f.path, line, block, key, err)
-}
+func (f *File) Wrong(block, key string, err error) error { return f.text.Wrong(block, 0, key, err) }
 
 func (f *File) check() error {
 	var wrong []error
