Check the four rules over the records of clients and workers

Need: experiments on real processes claim that no rule was broken; that has to be judged by code that knows nothing of the dispatcher's.

Change: internal/audit takes what clients saw (taken, answers, left), what workers saw (first and last byte, end, whether it ran) and what discovery wrote, and names each broken rule with time, request and who did it.

--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,249 @@
+package audit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// sound is a history of a dispatcher that keeps the rules, by a script: requests
+// of all classes, attempts that end in every way, a drain and a cold start.
+func sound(seed uint64) *History {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	h := &History{Rules: Rules{Grace: 0.016, DrainGrace: 2, FallMultiple: 3, FallSpan: 3, ColdFrom: 0.3, WarmAfter: 8},
+		Classes: []Class{{"safe", "safe", "", 0}, {"unsafe", "unsafe", "", 0}, {"all", "keyed", "all", 5}, {"zone", "keyed", "zone", 5}, {"cell", "keyed", "cell", 5}}}
+	for i := range 8 {
+		h.Workers = append(h.Workers, Worker{Name: fmt.Sprint("w", i), Zone: fmt.Sprint("z", i/4), Cell: i / 2, Slots: 4})
+	}
+	h.Workers[7].Started = 1
+	for _, d := range []string{"d0", "d1"} {
+		for i := range 8 {
+			h.Told = append(h.Told, Told{d, fmt.Sprint("w", i), "active", 0, 0.1})
+		}
+		h.Told = append(h.Told, Told{d, "w6", "leaving", 0, 3}, Told{d, "w7", "active", 1, 1.1})
+	}
+	for i := range 200 {
+		r := Request{ID: fmt.Sprint("r", i), Class: h.Classes[rng.IntN(5)].Name, Dispatcher: fmt.Sprint("d", rng.IntN(2)), Taken: rng.Float64() * 10, Patience: 4}
+		now := r.Taken + 0.01
+		first := rng.IntN(6)
+		for n := range 3 {
+			w := first
+			if n > 0 && r.Class == "cell" {
+				w = first
+			} else if n > 0 && r.Class == "zone" {
+				w = first/4*4 + rng.IntN(2)
+			} else if n > 0 {
+				w = rng.IntN(6)
+			}
+			a := Attempt{ID: r.ID, Worker: fmt.Sprint("w", w), Dispatcher: r.Dispatcher, First: now, Last: now + 0.001, End: now + 0.2, Work: 0.1}
+			now = a.End + 0.03
+			end := rng.IntN(4)
+			if end == 0 {
+				a.Unstarted = true // on to the next
+			} else if end == 1 && n < 2 && r.Class != "unsafe" {
+				a.Result = "" // broken: may have run
+			} else if end == 2 || end == 1 {
+				h.Attempts = append(h.Attempts, a)
+				r.Answers = []Answer{{now, 502, ""}}
+				break
+			} else {
+				a.Result = "made " + r.ID
+				r.Answers = []Answer{{now, 200, a.Result}}
+				h.Attempts = append(h.Attempts, a)
+				break
+			}
+			h.Attempts = append(h.Attempts, a)
+		}
+		if len(r.Answers) == 0 {
+			ran := slices.ContainsFunc(h.Attempts, func(a Attempt) bool { return a.ID == r.ID && a.mayRun() })
+			status := 503
+			if ran && r.Class != "safe" && r.Class != "all" {
+				status = 504
+			}
+			r.Answers = []Answer{{now, status, ""}}
+		}
+		h.Requests = append(h.Requests, r)
+	}
+	return h
+}
+
+func TestSoundHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if found := sound(rapid.Uint64().Draw(t, "seed")).Check(); len(found) > 0 {
+			t.Fatalf("%v", found)
+		}
+	})
+}
+
+// Each rule broken on purpose, in each way, is found, and nothing else is.
+func TestMutations(t *testing.T) {
+	// pick returns the index of a request for which ok holds.
+	pick := func(h *History, rng *rand.Rand, ok func(r *Request) bool) *Request {
+		at := rng.IntN(len(h.Requests))
+		for i := range h.Requests {
+			if r := &h.Requests[(at+i)%len(h.Requests)]; ok(r) {
+				return r
+			}
+		}
+		return nil
+	}
+	tries := func(h *History, r *Request) (list []*Attempt) {
+		for i := range h.Attempts {
+			if h.Attempts[i].ID == r.ID {
+				list = append(list, &h.Attempts[i])
+			}
+		}
+		return list
+	}
+	ran := func(h *History, r *Request) *Attempt {
+		for _, a := range tries(h, r) {
+			if a.mayRun() {
+				return a
+			}
+		}
+		return nil
+	}
+	// after is a further attempt of a request, after its last one.
+	after := func(h *History, r *Request, worker string) Attempt {
+		list := tries(h, r)
+		last := list[len(list)-1]
+		at := last.End + 0.025
+		if at < r.Answers[0].At-0.001 {
+			at = r.Answers[0].At - 0.001
+		}
+		return Attempt{ID: r.ID, Worker: worker, Dispatcher: r.Dispatcher, First: at, Last: at + 0.001, End: at + 0.01, Unstarted: true, Work: 0.1}
+	}
+	class := func(name string) func(h *History) func(r *Request) bool {
+		return func(h *History) func(r *Request) bool {
+			return func(r *Request) bool { return r.Class == name && ran(h, r) != nil }
+		}
+	}
+	for name, c := range map[string]struct {
+		rule int
+		do   func(h *History, rng *rand.Rand) bool
+	}{
+		"lost": {1, func(h *History, rng *rand.Rand) bool { h.Requests[rng.IntN(200)].Answers = nil; return true }},
+		"late": {1, func(h *History, rng *rand.Rand) bool { h.Requests[rng.IntN(200)].Answers[0].At += 5; return true }},
+		"twice": {1, func(h *History, rng *rand.Rand) bool {
+			r := &h.Requests[rng.IntN(200)]
+			r.Answers = append(r.Answers, Answer{r.Answers[0].At, 502, ""})
+			return true
+		}},
+		"made up": {1, func(h *History, rng *rand.Rand) bool {
+			r := &h.Requests[rng.IntN(200)]
+			r.Answers[0] = Answer{r.Answers[0].At, 200, "x"}
+			return true
+		}},
+		"of another": {1, func(h *History, rng *rand.Rand) bool {
+			r := pick(h, rng, func(r *Request) bool { return r.Answers[0].Status == 200 })
+			r.Answers[0].Body = "made by somebody else"
+			return true
+		}},
+		"sent after its end": {1, func(h *History, rng *rand.Rand) bool {
+			r := pick(h, rng, func(r *Request) bool { return r.Class == "safe" && len(tries(h, r)) > 0 })
+			a := after(h, r, "w0")
+			a.First, a.Last, a.End = r.Answers[0].At+0.2, r.Answers[0].At+0.21, r.Answers[0].At+0.3
+			h.Attempts = append(h.Attempts, a)
+			return true
+		}},
+		"invented": {1, func(h *History, _ *rand.Rand) bool {
+			h.Attempts = append(h.Attempts, Attempt{ID: "nobody's", Worker: "w0", Dispatcher: "d0", First: 1, Last: 1, End: 2})
+			return true
+		}},
+		"unsafe again": {2, func(h *History, rng *rand.Rand) bool {
+			h.Attempts = append(h.Attempts, after(h, pick(h, rng, class("unsafe")(h)), "w1"))
+			return true
+		}},
+		"unsafe refused": {2, func(h *History, rng *rand.Rand) bool {
+			pick(h, rng, class("unsafe")(h)).Answers[0].Status = 503
+			return true
+		}},
+		"keyed refused": {2, func(h *History, rng *rand.Rand) bool {
+			pick(h, rng, class("zone")(h)).Answers[0].Status = 429
+			return true
+		}},
+		"keyed in another zone": {2, func(h *History, rng *rand.Rand) bool {
+			r := pick(h, rng, class("zone")(h))
+			w := "w0"
+			if ran(h, r).Worker < "w4" {
+				w = "w4"
+			}
+			h.Attempts = append(h.Attempts, after(h, r, w))
+			return true
+		}},
+		"keyed in another cell": {2, func(h *History, rng *rand.Rand) bool {
+			r := pick(h, rng, func(r *Request) bool { a := ran(h, r); return r.Class == "cell" && a != nil && a.Worker < "w2" })
+			h.Attempts = append(h.Attempts, after(h, r, "w2"))
+			return true
+		}},
+		"keyed past its window": {2, func(h *History, rng *rand.Rand) bool {
+			r := pick(h, rng, func(r *Request) bool { return r.Class == "all" && ran(h, r) != nil && len(tries(h, r)) == 1 })
+			a := after(h, r, "w1")
+			a.First, a.Last, a.End = a.First+6, a.First+6.001, a.First+6.1
+			r.Patience, r.Answers[0].At = 20, a.End+0.1
+			if r.Answers[0].Status == 200 {
+				r.Answers[0] = Answer{a.End + 0.1, 502, ""}
+			}
+			h.Attempts = append(h.Attempts, a)
+			return true
+		}},
+		"two out at once": {2, func(h *History, rng *rand.Rand) bool {
+			r := pick(h, rng, class("safe")(h))
+			a := after(h, r, "w0")
+			list := tries(h, r)
+			a.First = list[len(list)-1].First + 0.05
+			h.Attempts = append(h.Attempts, a)
+			return true
+		}},
+		"sent to one that leaves": {3, func(h *History, rng *rand.Rand) bool {
+			r := pick(h, rng, func(r *Request) bool { return r.Taken > 5.2 && r.Class == "safe" && len(tries(h, r)) > 0 })
+			tries(h, r)[0].Worker = "w6"
+			return true
+		}},
+		"too much for one that is cold": {4, func(h *History, _ *rand.Rand) bool {
+			for i := range 60 {
+				at := 1.5 + float64(i)/60
+				id := fmt.Sprint("cold", i)
+				h.Requests = append(h.Requests, Request{ID: id, Class: "safe", Dispatcher: "d0", Taken: at - 0.01, Patience: 4, Answers: []Answer{{at + 0.5, 502, ""}}})
+				h.Attempts = append(h.Attempts, Attempt{ID: id, Worker: "w7", Dispatcher: "d0", First: at, Last: at, End: at + 0.4, Work: 0.4})
+			}
+			return true
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(30) {
+				h := sound(seed)
+				if !c.do(h, rand.New(rand.NewPCG(seed, 2))) {
+					continue
+				}
+				found := h.Check()
+				if len(found) == 0 {
+					t.Fatalf("seed %d: not found", seed)
+				}
+				for _, f := range found {
+					if f.Rule != c.rule {
+						t.Fatalf("seed %d: %v", seed, f)
+					}
+				}
+			}
+		})
+	}
+}
+
+// What the rules allow is not found: a late end told by sockets, a send within a
+// drain's grace, a refusal of what proved not to have run, a client that left.
+func TestAllowed(t *testing.T) {
+	h := sound(1)
+	h.Requests = append(h.Requests,
+		Request{ID: "left", Class: "unsafe", Dispatcher: "d0", Taken: 1, Patience: 4, Left: 1.5},
+		Request{ID: "never", Class: "unsafe", Dispatcher: "d0", Taken: 1, Patience: 4, Never: true},
+		Request{ID: "late", Class: "unsafe", Dispatcher: "d0", Taken: 1, Patience: 1, Answers: []Answer{{2.06, 504, ""}}},
+		Request{ID: "drain", Class: "unsafe", Dispatcher: "d0", Taken: 4, Patience: 3, Answers: []Answer{{6, 503, ""}}})
+	h.Attempts = append(h.Attempts, Attempt{ID: "drain", Worker: "w6", Dispatcher: "d0", First: 5.04, Last: 5.05, End: 5.1, Unstarted: true})
+	if found := h.Check(); len(found) > 0 {
+		t.Error(found)
+	}
+}
