Play a fleet of thousands in virtual time, and one model of a worker in both

Need: claims about scale need 2,000 workers and 64 dispatchers on one machine, repeatable; and the fleet on sockets had a worker of its own making, with plain semaphores.

Experiment 'scale' sets worth beside one queue that sees all.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -1,10 +1,10 @@
 package lab
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +14,7 @@
 	"time"
 
 	"example.org/bellstream/internal/audit"
+	"example.org/bellstream/internal/emulator"
 	"example.org/bellstream/internal/fault"
 	"example.org/bellstream/internal/faultline"
 )
@@ -50,16 +51,16 @@
 }
 
 type emulated struct {
-	f       *Fleet
-	name    string
-	addr    string
-	free    chan struct{}
-	turn    chan struct{} // who takes slots now
-	health  string        // as discovery has it; the fleet's lock
-	seq     int           // of its last change
-	mu      sync.Mutex
-	waiting int
-	silent  time.Time // until when it takes jobs and says nothing
+	f      *Fleet
+	name   string
+	addr   string
+	health string // as discovery has it; the fleet's lock
+	seq    int    // of its last change
+	mu     sync.Mutex
+	model  *emulator.Worker
+	waits  map[string]chan emulator.Event // by job that it has taken
+	timer  *time.Timer
+	silent time.Time // until when it takes jobs and says nothing
 }
 
 // Silence has a worker take jobs and say nothing for some time.
@@ -74,10 +75,9 @@
 func NewFleet(seed uint64, workers, slots int, mean time.Duration) (*Fleet, error) {
 	f := &Fleet{Slots: slots, Mean: mean, base: time.Now(), seq: 1, changed: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 0xf1ee7))}
 	for i := range workers {
-		w := &emulated{f: f, health: "active", seq: 1, name: fmt.Sprintf("w-%02d", i), free: make(chan struct{}, slots), turn: make(chan struct{}, 1)}
-		for range slots {
-			w.free <- struct{}{}
-		}
+		w := &emulated{f: f, health: "active", seq: 1, name: fmt.Sprintf("w-%02d", i), waits: map[string]chan emulator.Event{},
+			model: emulator.New(emulator.Settings{Slots: float64(slots), Queue: 2 * slots}, nil)}
+		w.timer = time.AfterFunc(time.Hour, func() { w.play(func(float64) {}) })
 		l, err := f.serve(w)
 		if err != nil {
 			f.Close()
@@ -111,6 +111,9 @@
 	for _, s := range f.servers {
 		s.Close()
 	}
+	for _, w := range f.workers {
+		w.timer.Stop()
+	}
 }
 
 // Discovery is where discovery listens.
@@ -234,32 +237,29 @@
 	}
 }
 
-// take gets a job its slots. Wide ones take theirs one after the other, one job
-// at a time, so that no two hold a part of what both need.
-func (w *emulated) take(ctx context.Context, slots int) bool {
-	select {
-	case w.turn <- struct{}{}:
-	case <-ctx.Done():
-		return false
-	}
-	defer func() { <-w.turn }()
-	for got := range slots {
-		select {
-		case <-w.free:
-		case <-ctx.Done():
-			for range got {
-				w.free <- struct{}{}
-			}
-			return false
+// play does something to the model now, and hands out what happens by it.
+func (w *emulated) play(do func(now float64)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.f.Clock(time.Now())
+	events := w.model.Advance(now)
+	do(now)
+	for _, e := range append(events, w.model.Advance(now)...) {
+		if c := w.waits[e.ID]; c != nil {
+			c <- e // it has room for all that can happen to a job without priorities
 		}
 	}
-	return true
+	if next := w.model.Next(now); !math.IsInf(next, 1) {
+		w.timer.Reset(time.Duration((next-now)*float64(time.Second)) + time.Microsecond)
+	}
 }
 
-func (w *emulated) load() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return fmt.Sprintf(`{"x0":%d,"waiting":%d}`, len(w.free), w.waiting)
+func (w *emulated) load() (text string) {
+	w.play(func(now float64) {
+		r := w.model.Report(now)
+		text = fmt.Sprintf(`{"x0":%v,"waiting":%v}`, r.FreeSlots, r.Queue)
+	})
+	return text
 }
 
 // ServeHTTP takes a job, or a probe.
@@ -297,52 +297,61 @@
 		w.f.mu.Unlock()
 	}()
 	w.mu.Lock()
-	if w.waiting >= 2*w.f.Slots {
-		w.mu.Unlock()
+	silent := time.Until(w.silent)
+	w.mu.Unlock()
+	if silent > 0 {
+		select {
+		case <-time.After(silent):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	news := make(chan emulator.Event, 4)
+	verdict := emulator.Full
+	w.play(func(now float64) {
+		if w.waits[id] == nil { // two attempts of one job at one worker: the second waits its turn elsewhere
+			if verdict = w.model.Take(now, emulator.Job{ID: id, Slots: float64(slots), Work: work.Seconds()}); verdict == emulator.Taken {
+				w.waits[id] = news
+			}
+		}
+	})
+	if verdict != emulator.Taken {
 		unstarted = true
 		out.Header().Set("Not-Started", "1")
 		out.Header().Set("Server-Load", w.load())
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.waiting++
-	silent := time.Until(w.silent)
-	w.mu.Unlock()
+	defer w.play(func(now float64) {
+		w.model.Cancel(now, id)
+		delete(w.waits, id)
+	})
 	w.f.mu.Lock()
 	nth := len(w.f.jobs)
-	w.f.jobs = append(w.f.jobs, Job{At: time.Now(), ID: id, Worker: w.name, Tenant: tenant, Entry: entry})
+	w.f.jobs = append(w.f.jobs, Job{At: first, ID: id, Worker: w.name, Tenant: tenant, Entry: entry})
 	w.f.mu.Unlock()
 	say := func(state, more string) {
 		fmt.Fprintf(out, `{"id":%q,"from":%q,"state":%q%s}`+"\n", id, w.name, state, more)
 		out.(http.Flusher).Flush()
 	}
-	if silent > 0 {
+	out.(http.Flusher).Flush()
+	for ended := false; !ended; {
 		select {
-		case <-time.After(silent):
+		case e := <-news:
+			w.f.mu.Lock()
+			if ended = e.Kind == emulator.Done; ended {
+				w.f.jobs[nth].Done, w.f.jobs[nth].Failed = time.Now(), fails
+			} else {
+				w.f.jobs[nth].Started = time.Now()
+			}
+			w.f.mu.Unlock()
+			if !ended {
+				say("started", "")
+			}
 		case <-r.Context().Done():
+			return
 		}
 	}
-	out.(http.Flusher).Flush()
-	left := func() { w.mu.Lock(); w.waiting--; w.mu.Unlock() }
-	if !w.take(r.Context(), slots) {
-		left()
-		return
-	}
-	left()
-	w.f.mu.Lock()
-	w.f.jobs[nth].Started = time.Now()
-	w.f.mu.Unlock()
-	say("started", "")
-	select {
-	case <-time.After(work):
-	case <-r.Context().Done():
-	}
-	for range slots {
-		w.free <- struct{}{}
-	}
-	w.f.mu.Lock()
-	w.f.jobs[nth].Done, w.f.jobs[nth].Failed = time.Now(), fails
-	w.f.mu.Unlock()
 	if fails {
 		say("failed", fmt.Sprintf(`,"load":%s`, w.load()))
 		return
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -73,7 +73,7 @@
 }
 
 // Experiments are all there are.
-var Experiments = []Experiment{countsExperiment, countsLarge, waitingExperiment, ageingExperiment, silentExperiment}
+var Experiments = []Experiment{countsExperiment, countsLarge, waitingExperiment, ageingExperiment, silentExperiment, scaleExperiment}
 
 // Find returns an experiment by name.
 func Find(name string) *Experiment {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -10,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"example.org/bellstream/internal/emulator"
 )
 
 // A result holds only if every claim does, and none that measured nothing.
@@ -132,9 +135,12 @@
 	if _, text, _ := post("b", "north 2 fail"); !strings.Contains(text, `"state":"failed"`) {
 		t.Error(text)
 	}
-	f.workers[0].mu.Lock()
-	f.workers[0].waiting = 2 // its queue is full
-	f.workers[0].mu.Unlock()
+	f.workers[0].play(func(now float64) { // its slot and its queue are full
+		for i := range 3 {
+			f.workers[0].model.Advance(now)
+			f.workers[0].model.Take(now, emulator.Job{ID: fmt.Sprint(i), Work: 100})
+		}
+	})
 	if status, _, h := post("c", "x 0"); status != 503 || h.Get("Not-Started") != "1" || h.Get("Server-Load") == "" {
 		t.Errorf("%d %v", status, h)
 	}
--- /dev/null
+++ b/internal/lab/scale.go
@@ -0,0 +1,85 @@
+package lab
+
+import (
+	"fmt"
+	"runtime"
+
+	"example.org/bellstream/internal/virtual"
+)
+
+var scaleExperiment = Experiment{
+	Name:    "scale",
+	About:   "Virtual time: 12 to 2,000 workers, 4 to 64 dispatchers that share nothing but the workers; worth, CPU, memory.",
+	Without: []string{"reports"},
+	Run:     runScale,
+}
+
+// What is claimed at every size: worth against one queue that sees all, and what
+// a job's decisions cost. That grows with what one dispatcher has out, since it
+// looks at more workers then, and not with the fleet: that is where it bends.
+const (
+	scaleWorth = 0.9
+	scaleBase  = 100.0 // µs a job
+	scaleEach  = 4.0   // µs a job more for each worker to a dispatcher
+	scaleFlat  = 2.0   // CPU a job in a larger fleet with as many workers to a dispatcher
+)
+
+type scaleSize struct {
+	workers, dispatchers int
+	span                 float64
+}
+
+func runScale(p Params) (*Result, error) {
+	sizes := []scaleSize{{12, 4, 20}, {100, 4, 20}, {100, 16, 20}, {400, 16, 20}, {1000, 16, 20}, {1000, 64, 20}, {1600, 64, 20}, {2000, 16, 10}, {2000, 64, 60}}
+	if p.Quick {
+		sizes = []scaleSize{{12, 4, 10}, {100, 4, 10}, {100, 16, 10}, {400, 16, 6}, {1000, 16, 4}}
+	}
+	set := func(s scaleSize) virtual.FleetSettings {
+		return virtual.FleetSettings{Seed: p.Seed, Workers: s.workers, Slots: 4, Dispatchers: s.dispatchers, Mean: 0.3, Load: 0.75,
+			Aim: 1.5, Patience: 4, Tick: 0.004, Span: s.span, Blind: p.Without == "reports"}
+	}
+	play := func(s scaleSize) (virtual.FleetResult, error) {
+		f, err := virtual.NewFleet(set(s))
+		if err != nil {
+			return virtual.FleetResult{}, err
+		}
+		return f.Run(), nil
+	}
+	r := &Result{Size: fmt.Sprintf("up to %d workers of 4 slots, load 75%%, %d cores", sizes[len(sizes)-1].workers, runtime.GOMAXPROCS(0))}
+	var first uint64
+	cost := map[scaleSize]float64{}
+	for i, s := range sizes {
+		x, err := play(s)
+		if err != nil {
+			return nil, err
+		}
+		name := fmt.Sprintf("%d workers, %d dispatchers", s.workers, s.dispatchers)
+		worth, cpu := float64(x.InTime)/float64(x.Ideal), float64(x.CPU.Microseconds())/float64(x.Jobs)
+		cost[scaleSize{s.workers, s.dispatchers, 0}] = cpu
+		p.Log("%s: %d jobs, worth %.3f, %.1f us a job, %.2f attempts a job, late %d, refused %d, failed %d, %.1f MB a dispatcher, %.0f s in %.1f s", name, x.Jobs, worth, cpu,
+			float64(x.Attempts)/float64(x.Jobs), x.Late, x.Refused, x.Failed, float64(x.Heap)/1e6/float64(s.dispatchers), s.span, x.Wall.Seconds())
+		r.AtLeast(name+": worth against one queue that sees all", scaleWorth, worth, "part")
+		r.AtMost(name+": CPU of the decisions a job", scaleBase+scaleEach*float64(s.workers)/float64(s.dispatchers), cpu, "us")
+		r.Note(name+": memory a dispatcher", float64(x.Heap)/1e6/float64(s.dispatchers), "MB")
+		r.Note(name+": attempts a job", float64(x.Attempts)/float64(x.Jobs), "attempts")
+		if i == 0 {
+			first = x.Digest
+		}
+		if !p.Quick && i == len(sizes)-1 {
+			r.AtMost("the largest minute against real time", 1, x.Wall.Seconds()/s.span, "part")
+		}
+	}
+	again, err := play(sizes[0])
+	if err != nil {
+		return nil, err
+	}
+	same := 0.0
+	if again.Digest == first {
+		same = 1
+	}
+	r.AtLeast("the same seed gives the same run, byte for byte", 1, same, "runs")
+	if small, large := cost[scaleSize{400, 16, 0}], cost[scaleSize{1600, 64, 0}]; large > 0 {
+		r.AtMost("CPU a job at 1,600 workers and 64 dispatchers, against 400 and 16", scaleFlat, large/small, "times")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/virtual/fleet.go
@@ -0,0 +1,381 @@
+package virtual
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/emulator"
+)
+
+// FleetSettings are what a Fleet is made of. Times are in seconds.
+type FleetSettings struct {
+	Seed        uint64
+	Workers     int
+	Slots       float64
+	Dispatchers int
+	Mean        float64 // of the work, exponential
+	Load        float64 // part of what all workers can do
+	Aim         float64 // an answer within that is in time
+	Patience    float64
+	Tick        float64 // of the dispatchers; a message takes one, each way
+	Span        float64
+	Blind       bool // no reports and no probes
+}
+
+// FleetResult is what came of it. Digest, and all but the last three figures,
+// depend on the settings alone.
+type FleetResult struct {
+	Jobs, InTime, Late, Refused, Failed int
+	Attempts                            int
+	Ideal                               int // in time where one queue sees all and nothing takes a way
+	Digest                              uint64
+	CPU                                 time.Duration // of the decisions, all dispatchers together
+	Wall                                time.Duration
+	Heap                                uint64 // bytes that the dispatchers hold
+}
+
+// Fleet plays the dispatchers' decision module against modelled workers, tick by
+// tick on all cores. Dispatchers share nothing but the workers; within a tick
+// they are played in any order, their messages are taken in theirs.
+type Fleet struct {
+	FleetSettings
+	now     float64
+	workers []*emulator.Worker
+	names   []string
+	index   map[string]int
+	all     []*fleetDispatcher
+	shards  []fleetShard
+}
+
+// order is a message to a worker.
+type order struct {
+	worker int
+	kind   int // send, cancel, probe
+	job    *fleetJob
+	try    int
+}
+
+const (
+	send = iota
+	cancel
+	probe
+)
+
+type fleetJob struct {
+	id     string
+	owner  int
+	born   float64
+	work   float64
+	tries  []int // workers
+	out    map[int]bool
+	closed bool
+}
+
+type fleetDispatcher struct {
+	no     int
+	bal    *balance.Balancer
+	rng    *rand.Rand
+	jobs   map[string]*fleetJob
+	queue  []*fleetJob // by deadline: all have one patience
+	events []balance.Event
+	orders []order
+	timers []float64
+	came   []*fleetJob // in this tick
+	sum    *xxhash.Digest
+	cpu    time.Duration
+	n      int
+	FleetResult
+}
+
+// shards is fixed: the order of events follows from it, and so the result.
+const shards = 16
+
+// fleetShard is a part of the workers, played by one core.
+type fleetShard struct {
+	out  [][]balance.Event // by dispatcher
+	jobs map[string]*fleetJob
+}
+
+// NewFleet makes a fleet of warm workers that every dispatcher knows.
+func NewFleet(s FleetSettings) (*Fleet, error) {
+	f := &Fleet{FleetSettings: s, index: map[string]int{}, now: 100}
+	var list []balance.WorkerInfo
+	for i := range s.Workers {
+		f.workers = append(f.workers, emulator.New(emulator.Settings{Slots: s.Slots, Queue: int(2 * s.Slots)}, nil))
+		f.names = append(f.names, fmt.Sprintf("w-%04d", i))
+		f.index[f.names[i]] = i
+		list = append(list, balance.WorkerInfo{ID: f.names[i], Zone: fmt.Sprint("z", i%4), State: balance.Running})
+	}
+	for i := range s.Dispatchers {
+		cfg := balance.Config{Index: i, Dispatchers: s.Dispatchers, Zone: fmt.Sprint("z", i%4),
+			Classes:      []balance.Class{{Name: "job", Aim: s.Aim, Deadline: s.Patience, Worth: 1, Repeat: balance.Safe}},
+			Tenants:      []balance.Tenant{{Name: "t", Quota: s.Load * float64(s.Workers) * s.Slots / s.Mean}},
+			ReportFields: []string{balance.FieldFreeSlots, balance.FieldWaiting}, StartNotes: true, MarksRetry: true, MaxAttempts: 3,
+			Probes: !s.Blind, Cancels: true, Tick: s.Tick, MaxRetryAfter: 2, ProbeCharge: 0.01}
+		if s.Blind {
+			cfg.ReportFields = nil
+		}
+		b, err := balance.New(cfg, s.Seed+uint64(i))
+		if err != nil {
+			return nil, err
+		}
+		d := &fleetDispatcher{no: i, bal: b, rng: rand.New(rand.NewPCG(s.Seed, uint64(i))), jobs: map[string]*fleetJob{}, sum: xxhash.New()}
+		d.events = []balance.Event{balance.RosterUpdate{Kind: balance.RosterSaved, Workers: list}}
+		f.all = append(f.all, d)
+	}
+	f.shards = make([]fleetShard, shards)
+	for i := range f.shards {
+		f.shards[i] = fleetShard{make([][]balance.Event, s.Dispatchers), map[string]*fleetJob{}}
+	}
+	return f, nil
+}
+
+// each plays n parts on all cores.
+func each(n int, play func(i int)) {
+	var all sync.WaitGroup
+	var next atomic.Int64 // who is ready takes the next: parts differ in length
+	for range min(n, runtime.GOMAXPROCS(0)) {
+		all.Go(func() {
+			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+				play(i)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// Run plays the whole span and what is left of it.
+func (f *Fleet) Run() FleetResult {
+	began := time.Now()
+	ideal := newIdeal(f.Workers * int(f.Slots))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	end := f.now + f.Span
+	for open := 1; f.now < end || open > 0; f.now += f.Tick {
+		each(len(f.all), func(i int) { f.decide(f.all[i], f.now < end) })
+		open = 0
+		for _, d := range f.all {
+			open += len(d.jobs)
+			for _, j := range d.came {
+				ideal.take(j.born, j.work, f.Aim)
+			}
+		}
+		each(len(f.shards), f.play)
+		if f.now < end && f.now+f.Tick >= end {
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+		}
+	}
+	r := FleetResult{Wall: time.Since(began), Ideal: ideal.inTime}
+	if after.HeapAlloc > before.HeapAlloc {
+		r.Heap = after.HeapAlloc - before.HeapAlloc
+	}
+	sum := xxhash.New()
+	for _, d := range f.all {
+		r.Jobs, r.InTime, r.Late, r.Refused, r.Failed = r.Jobs+d.Jobs, r.InTime+d.InTime, r.Late+d.Late, r.Refused+d.Refused, r.Failed+d.Failed
+		r.Attempts, r.CPU = r.Attempts+d.Attempts, r.CPU+d.cpu
+		binary.Write(sum, binary.LittleEndian, d.sum.Sum64())
+	}
+	r.Digest = sum.Sum64()
+	return r
+}
+
+// decide plays a tick of one dispatcher: what has come to it, then its decisions.
+func (f *Fleet) decide(d *fleetDispatcher, arrivals bool) {
+	for i := range f.shards {
+		d.events = append(d.events, f.shards[i].out[d.no]...)
+		f.shards[i].out[d.no] = f.shards[i].out[d.no][:0]
+	}
+	for _, e := range d.events {
+		if e, ok := e.(balance.AttemptDone); ok {
+			j := d.jobs[e.ID]
+			if j == nil {
+				continue
+			}
+			delete(j.out, e.Attempt)
+			if e.Outcome == balance.Served && !j.closed {
+				d.end(f, j, 'S')
+			}
+		}
+	}
+	d.orders, d.came = d.orders[:0], d.came[:0]
+	for len(d.queue) > 0 && (d.queue[0].closed || d.queue[0].born+f.Patience <= f.now) {
+		j := d.queue[0]
+		d.queue = d.queue[1:]
+		if !j.closed {
+			for k := range len(j.tries) {
+				if j.out[k] {
+					d.orders = append(d.orders, order{j.tries[k], cancel, j, k})
+					d.events = append(d.events, balance.AttemptDone{ID: j.id, Attempt: k, Worker: f.names[j.tries[k]], Outcome: balance.TimedOut})
+				}
+			}
+			clear(j.out)
+		}
+	}
+	if arrivals {
+		rate := f.Load * float64(f.Workers) * f.Slots / f.Mean / float64(f.Dispatchers)
+		for range Poisson(d.rng, rate*f.Tick) {
+			d.n++
+			d.Jobs++
+			j := &fleetJob{id: strconv.Itoa(d.no) + "-" + strconv.Itoa(d.n), owner: d.no, born: f.now, work: d.rng.ExpFloat64() * f.Mean, out: map[int]bool{}}
+			d.jobs[j.id] = j
+			d.queue, d.came = append(d.queue, j), append(d.came, j)
+			d.events = append(d.events, balance.JobArrived{ID: j.id, Class: "job", Tenant: "t", Left: f.Patience, Slots: 1})
+		}
+	}
+	kept := d.timers[:0]
+	for _, at := range d.timers {
+		if at <= f.now {
+			d.events = append(d.events, balance.TimerFired{})
+		} else {
+			kept = append(kept, at)
+		}
+	}
+	d.timers = kept
+	if len(d.events) == 0 {
+		return
+	}
+	events := d.events
+	d.events = nil
+	began := time.Now()
+	acts := d.bal.Step(f.now, events)
+	d.cpu += time.Since(began)
+	for _, a := range acts {
+		switch a := a.(type) {
+		case balance.Send:
+			if j := d.jobs[a.ID]; j != nil {
+				k, w := len(j.tries), f.index[a.Worker]
+				j.tries, j.out[k] = append(j.tries, w), true
+				d.Attempts++
+				d.orders = append(d.orders, order{w, send, j, k})
+			}
+		case balance.Cancel:
+			if j := d.jobs[a.ID]; j != nil && j.out[a.Attempt] {
+				delete(j.out, a.Attempt)
+				d.orders = append(d.orders, order{j.tries[a.Attempt], cancel, j, a.Attempt})
+				d.events = append(d.events, balance.AttemptDone{ID: j.id, Attempt: a.Attempt, Worker: f.names[j.tries[a.Attempt]], Outcome: balance.Cancelled})
+			}
+		case balance.Probe:
+			d.orders = append(d.orders, order{f.index[a.Worker], probe, nil, 0})
+		case balance.SetTimer:
+			d.timers = append(d.timers, f.now+a.After)
+		case balance.Refuse:
+			d.end(f, d.jobs[a.ID], 'R')
+		case balance.Fail:
+			d.end(f, d.jobs[a.ID], 'F')
+		}
+	}
+}
+
+// end counts how a job ended.
+func (d *fleetDispatcher) end(f *Fleet, j *fleetJob, how byte) {
+	if j == nil || j.closed {
+		return
+	}
+	j.closed = true
+	delete(d.jobs, j.id)
+	switch {
+	case how == 'R':
+		d.Refused++
+	case how == 'F':
+		d.Failed++
+	case f.now-j.born <= f.Aim:
+		d.InTime++
+	default:
+		d.Late++
+	}
+	fmt.Fprintf(d.sum, "%s%c%.3f;", j.id, how, f.now)
+}
+
+// play plays a tick of a part of the workers.
+func (f *Fleet) play(part int) {
+	s := &f.shards[part]
+	tell := func(j *fleetJob, e balance.Event) { s.out[j.owner] = append(s.out[j.owner], e) }
+	report := func(w *emulator.Worker) []float64 {
+		if f.Blind {
+			return nil
+		}
+		r := w.Report(f.now)
+		return []float64{r.FreeSlots, r.Queue}
+	}
+	advance := func(i int) {
+		w := f.workers[i]
+		for _, e := range w.Advance(f.now) {
+			j := s.jobs[e.ID]
+			if j == nil {
+				continue
+			}
+			k := len(j.tries) - 1
+			switch e.Kind {
+			case emulator.Started:
+				tell(j, balance.AttemptStarted{ID: j.id, Attempt: k})
+			case emulator.Done:
+				delete(s.jobs, e.ID)
+				tell(j, balance.AttemptDone{ID: j.id, Attempt: k, Worker: f.names[i], Outcome: balance.Served, Closed: true, Report: report(w)})
+			}
+		}
+	}
+	mine := func(i int) bool { return i%len(f.shards) == part }
+	for _, d := range f.all {
+		for _, o := range d.orders {
+			if !mine(o.worker) {
+				continue
+			}
+			w := f.workers[o.worker]
+			switch o.kind {
+			case send:
+				advance(o.worker)
+				if w.Take(f.now, emulator.Job{ID: o.job.id, Slots: 1, Work: o.job.work}) != emulator.Taken {
+					tell(o.job, balance.AttemptDone{ID: o.job.id, Attempt: o.try, Worker: f.names[o.worker], Outcome: balance.Full, Report: report(w)})
+					continue
+				}
+				s.jobs[o.job.id] = o.job
+			case cancel:
+				w.Cancel(f.now, o.job.id)
+				delete(s.jobs, o.job.id)
+			case probe:
+				s.out[d.no] = append(s.out[d.no], balance.ProbeDone{Worker: f.names[o.worker], Outcome: balance.Served, Report: report(w)})
+			}
+		}
+	}
+	for i := part; i < len(f.workers); i += len(f.shards) {
+		advance(i)
+	}
+}
+
+// ideal is one queue before all slots, which sees all.
+type ideal struct {
+	free   floats
+	inTime int
+}
+
+func newIdeal(slots int) *ideal { return &ideal{free: make(floats, slots)} }
+
+func (x *ideal) take(at, work, aim float64) {
+	start := max(at, x.free[0])
+	if start+work-at > aim { // it earns nothing: the ideal does not run it
+		return
+	}
+	x.inTime++
+	x.free[0] = start + work
+	heap.Fix(&x.free, 0)
+}
+
+type floats []float64
+
+func (f floats) Len() int           { return len(f) }
+func (f floats) Less(i, k int) bool { return f[i] < f[k] }
+func (f floats) Swap(i, k int)      { f[i], f[k] = f[k], f[i] }
+func (f *floats) Push(x any)        { *f = append(*f, x.(float64)) }
+func (f *floats) Pop() any          { o := *f; x := o[len(o)-1]; *f = o[:len(o)-1]; return x }
