Do not hold jobs for a probe's answer while many wait

Cause: a job waits up to a quarter of its aim while an answer to a probe is out. At 2,000 workers and 1,250 jobs a second for a dispatcher some answer always is, and the job looked at first is the one that came last: so all jobs waited for each other. Two of sixteen dispatchers stayed there, with a thousand jobs waiting beside half-empty workers, and refused a quarter of what came.

Change: no job is held so while more than 128 wait for its tenant.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,7 @@
 	copySoon     = 0.65  // part of its aim before which a job that has not started gets a copy
 	copyPrompt   = 0.5   // part of the sends that start sooner, below which there are no copies
 	holdShare    = 0.25  // part of its aim that a job waits for answers
+	holdMost     = 128   // while no more wait: with many, some answer is always out and none would ever go
 	idlePrior    = 2.0   // reports that the expectation of one free slot for each worker counts for
 	reportAge    = 0.3   // how old a report is taken to be when it comes
 	coldSafety   = 0.8   // part of the cold budget that is used: sizes are only expected ones
@@ -538,7 +539,7 @@
 	if scattered && j.class.Repeat != Unsafe {
 		lack, power = max(doubt, j.slots/2), scatterPower
 	}
-	if b.best < j.slots-lack || b.asking && b.now < j.since+holdShare*b.blind()*j.class.Aim {
+	if b.best < j.slots-lack || b.asking && j.in.n <= holdMost && b.now < j.since+holdShare*b.blind()*j.class.Aim {
 		return nil
 	}
 	wary := caution * (1 - b.blind()) * b.misses.or(0, 2)
--- a/internal/virtual/fleet_test.go
+++ b/internal/virtual/fleet_test.go
@@ -21,3 +21,16 @@
 		t.Errorf("digests %x", digests)
 	}
 }
+
+// At 1,250 jobs a second for one dispatcher an answer to some probe is always
+// out: a job that waited for it as in a small fleet kept all others waiting too,
+// and two of sixteen dispatchers refused a quarter of what came.
+func TestLargeFleetDoesNotWaitForAnswers(t *testing.T) {
+	f, err := NewFleet(FleetSettings{Seed: 21, Workers: 2000, Slots: 4, Dispatchers: 16, Mean: 0.3, Load: 0.75, Aim: 1.5, Patience: 4, Tick: 0.004, Span: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := f.Run(); r.Refused > r.Jobs/1000 || r.InTime < r.Ideal*99/100 {
+		t.Errorf("%+v", r)
+	}
+}
