Add an open-loop load tool and reports that stand alone

Need: to load a dispatcher from outside without a slow one slowing the questions, and to hand on what an experiment found.

One look at a time opens and closes the doors of the fault tool; its test takes a reset while connecting for one; a line of the policy that was too wide is split.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -539,7 +539,8 @@
 	if scattered && j.class.Repeat != Unsafe {
 		lack, power = max(doubt, j.slots/2), scatterPower
 	}
-	if b.best < j.slots-lack || b.asking && j.in.n <= holdMost && b.now < j.since+holdShare*b.blind()*j.class.Aim {
+	asks := b.asking && j.in.n <= holdMost
+	if b.best < j.slots-lack || asks && b.now < j.since+holdShare*b.blind()*j.class.Aim {
 		return nil
 	}
 	wary := caution * (1 - b.blind()) * b.misses.or(0, 2)
--- a/cmd/bellstream-lab/main.go
+++ b/cmd/bellstream-lab/main.go
@@ -3,18 +3,104 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"example.org/bellstream/internal/lab"
+	"example.org/bellstream/internal/load"
 )
 
 type cli struct {
 	List struct{} `cmd:"" help:"List the experiments."`
 	Run  runCmd   `cmd:"" help:"Run one."`
+	Load loadCmd  `cmd:"" help:"Ask a dispatcher, open loop, and say what its clients saw."`
+}
+
+type loadCmd struct {
+	Targets []string `arg:"" name:"target" help:"Where dispatchers listen, host:port; asked in turn."`
+	Rate    float64  `default:"100" help:"Jobs a second, in the mean."`
+	Shape   string   `default:"poisson" help:"poisson, even, bursts or day."`
+	Burst   int      `default:"10" help:"Jobs in one of the bursts."`
+	Period  float64  `default:"60" help:"Seconds of a day."`
+	Span    float64  `default:"10" help:"Seconds."`
+	Most    int      `default:"1000000" help:"Jobs at most."`
+	Class   []string `default:"job:1:3" help:"NAME:WEIGHT:PATIENCE[:keyed][:SLOTS=WEIGHT...], several." placeholder:"CLASS"`
+	Tenant  []string `default:"t:1" help:"NAME:WEIGHT, several."`
+	Leave   float64  `help:"Part of the clients that leave before their patience ends."`
+	Retries int      `help:"How often a client asks again after a refusal."`
+	Obey    bool     `help:"Clients wait as Retry-After says."`
+	Trace   string   `help:"Play recorded jobs instead: JSON lines with at, class, tenant, slots, timeout." placeholder:"FILE"`
+	Seed    uint64   `help:"Seed of all that is drawn; 0 draws one."`
+	JSON    bool     `name:"json" help:"Print the report as JSON."`
+	Quiet   bool     `help:"No progress on the terminal."`
+}
+
+func (c *loadCmd) settings() (load.Settings, error) {
+	s := load.Settings{Seed: c.Seed, Rate: c.Rate, Shape: c.Shape, Burst: c.Burst, Period: c.Period, Span: c.Span, Most: c.Most,
+		Leave: c.Leave, Retries: c.Retries, Obey: c.Obey}
+	for _, text := range c.Class {
+		x, err := load.ParseClass(text)
+		if err != nil {
+			return s, err
+		}
+		s.Classes = append(s.Classes, x)
+	}
+	for _, text := range c.Tenant {
+		x, err := load.ParsePart(text, ":")
+		if err != nil {
+			return s, fmt.Errorf("tenant %w", err)
+		}
+		s.Tenants = append(s.Tenants, x)
+	}
+	return s, s.Check()
+}
+
+// run returns the exit code: 0, 1 if the run is void, 2 on misuse.
+func (c *loadCmd) run() int {
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64() >> 11
+	}
+	s, err := c.settings()
+	o := lab.LoadOptions{Targets: c.Targets, Settings: s}
+	if err == nil && c.Trace != "" {
+		var f *os.File
+		if f, err = os.Open(c.Trace); err == nil {
+			o.Trace, err = load.Trace(c.Trace, f)
+			f.Close()
+		}
+	}
+	if !c.Quiet && !c.JSON {
+		o.Progress = os.Stderr
+	}
+	var r *lab.LoadReport
+	if err == nil { // Ctrl-C ends the questions; what was asked is waited for and reported
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		r, err = lab.RunLoad(ctx, o)
+	}
+	if err == nil {
+		if c.JSON {
+			err = json.NewEncoder(os.Stdout).Encode(r)
+		} else {
+			err = r.Print(os.Stdout)
+		}
+	}
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "bellstream-lab:", err)
+		return 2
+	case r.Void != "":
+		return 1
+	}
+	return 0
 }
 
 type runCmd struct {
@@ -22,6 +108,7 @@
 	Seed    uint64 `help:"Seed of all that is drawn; 0 draws one."`
 	Quick   bool   `help:"Smaller, within 50 s."`
 	JSON    bool   `name:"json" help:"Print the result as JSON."`
+	Report  string `help:"Write a report, one HTML file." placeholder:"FILE"`
 	Out     string `help:"Folder for logs and records." placeholder:"DIR"`
 	Without string `help:"Mechanism to switch off." placeholder:"WHAT"`
 	Program string `help:"The program to run; default: bellstream beside this one." placeholder:"FILE"`
@@ -46,6 +133,9 @@
 		}
 		return
 	}
+	if strings.HasPrefix(ctx.Command(), "load") {
+		os.Exit(c.Load.run())
+	}
 	r := c.Run
 	e := lab.Find(r.Name)
 	if e == nil {
@@ -61,6 +151,12 @@
 		fmt.Fprintln(os.Stderr, "bellstream-lab:", err)
 		os.Exit(2)
 	}
+	if r.Report != "" {
+		if err := write(r.Report, result); err != nil {
+			fmt.Fprintln(os.Stderr, "bellstream-lab:", err)
+			os.Exit(2)
+		}
+	}
 	if err := result.Print(os.Stdout, r.JSON); err != nil {
 		os.Exit(2)
 	}
@@ -68,3 +164,15 @@
 		os.Exit(1)
 	}
 }
+
+func write(path string, r *lab.Result) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := r.Page().Write(f); err != nil {
+		return err
+	}
+	return f.Close()
+}
--- a/internal/faultline/faultline.go
+++ b/internal/faultline/faultline.go
@@ -60,7 +60,8 @@
 	conns   map[*conn]bool
 	closed  bool
 
-	logMu sync.Mutex
+	logMu  sync.Mutex
+	lookMu sync.Mutex // what one look has found is played before the next one looks
 }
 
 // Start opens the doors.
@@ -193,6 +194,8 @@
 
 // look plays what has begun or ended.
 func (p *Proxy) look() {
+	p.lookMu.Lock()
+	defer p.lookMu.Unlock()
 	p.mu.Lock()
 	now := p.clock()
 	on := map[int]fault.Rule{}
--- a/internal/faultline/faultline_test.go
+++ b/internal/faultline/faultline_test.go
@@ -81,6 +81,20 @@
 	return c.(*net.TCPConn)
 }
 
+// broken is how a connection ends that is reset as it comes: while it is still
+// being made, or as soon as it is.
+func broken(t *testing.T, p *Proxy) error {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr("d"))
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = io.ReadAll(c)
+	return err
+}
+
 func says(t *testing.T, c net.Conn, want string) {
 	t.Helper()
 	got := make([]byte, len(want))
@@ -150,7 +164,7 @@
 	if _, err := io.ReadAll(open); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("the open one: %v", err)
 	}
-	if _, err := io.ReadAll(dial(t, p)); !errors.Is(err, syscall.ECONNRESET) {
+	if err := broken(t, p); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("one that comes: %v", err)
 	}
 	if !p.End(id) || p.End(id) {
@@ -204,7 +218,7 @@
 		says(t, c, "y")
 	}
 	p, h := start(t, "127.0.0.1:1")
-	if _, err := io.ReadAll(dial(t, p)); err == nil || h.count("fails") != 1 {
+	if err := broken(t, p); !errors.Is(err, syscall.ECONNRESET) || h.count("fails") != 1 {
 		t.Errorf("a target that is not there: %v, %d lines", err, h.count("fails"))
 	}
 	if _, err := p.Do(fault.Rule{Kind: "explode"}); err == nil {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -12,6 +12,8 @@
 	"slices"
 	"text/tabwriter"
 	"time"
+
+	"example.org/bellstream/internal/report"
 )
 
 // Claim is one promise and what was measured.
@@ -38,6 +40,21 @@
 	Claims     []Claim  `json:"claims"`
 	Held       bool     `json:"held"`
 	Beside     []Beside `json:"beside,omitempty"`
+	// Plots are for reports.
+	Plots []report.Plot `json:"-"`
+}
+
+// Page is the result as a report.
+func (r *Result) Page() *report.Page {
+	p := &report.Page{Title: "bellstream: " + r.Experiment, Sub: fmt.Sprintf("Seed %d. %s.", r.Seed, r.Size), Plots: r.Plots,
+		Notes: []string{"Claims were stated in advance and are measured from outside, by the records of workers and clients."}}
+	for _, c := range r.Claims {
+		p.Claims = append(p.Claims, report.Row{Name: c.Name, Bound: fmt.Sprintf("%.4g", c.Bound), Measured: fmt.Sprintf("%.4g", c.Measured), Unit: c.Unit, Held: c.Held})
+	}
+	for _, b := range r.Beside {
+		p.Beside = append(p.Beside, report.Row{Name: b.Name, Measured: fmt.Sprintf("%.4g", b.Value), Unit: b.Unit})
+	}
+	return p
 }
 
 // AtLeast claims that a figure is no smaller than its bound.
@@ -73,7 +90,7 @@
 }
 
 // Experiments are all there are.
-var Experiments = []Experiment{countsExperiment, countsLarge, waitingExperiment, ageingExperiment, silentExperiment, scaleExperiment}
+var Experiments = []Experiment{countsExperiment, countsLarge, waitingExperiment, ageingExperiment, silentExperiment, scaleExperiment, loadExperiment}
 
 // Find returns an experiment by name.
 func Find(name string) *Experiment {
--- /dev/null
+++ b/internal/lab/loadself.go
@@ -0,0 +1,75 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"example.org/bellstream/internal/load"
+)
+
+var loadExperiment = Experiment{
+	Name:    "load",
+	About:   "The load tool itself against a trivial server: is it fast enough, and in time? Does a slow server slow it?",
+	Without: []string{"open-loop"},
+	Run:     runLoadItself,
+}
+
+const (
+	loadRate = 6000.0 // asked for
+	loadLow  = 5000.0 // claimed
+	stall    = 300 * time.Millisecond
+
+	loadStalled = 1000.0
+)
+
+func runLoadItself(p Params) (*Result, error) {
+	span := 30.0
+	if p.Quick {
+		span = 8
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	var from atomic.Int64 // when it stalls: whoever comes meanwhile waits for its end
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if left := time.Until(time.Unix(0, from.Load()).Add(stall)); left > 0 && left < stall {
+			time.Sleep(left)
+		}
+	})}
+	go server.Serve(l)
+	defer server.Close()
+	closed := 0
+	if p.Without == "open-loop" {
+		closed = 16
+	}
+	run := func(rate, span float64) (*LoadReport, error) {
+		return RunLoad(context.Background(), LoadOptions{Closed: closed, Targets: []string{l.Addr().String()}, Settings: load.Settings{Seed: p.Seed, Rate: rate, Shape: load.Poisson,
+			Span: span, Classes: []load.Class{{Part: load.Part{Name: "job", Weight: 1}, Patience: 5}}, Tenants: []load.Part{{Name: "t", Weight: 1}}}})
+	}
+	x, err := run(loadRate, span)
+	if err != nil {
+		return nil, err
+	}
+	from.Store(time.Now().Add(2 * time.Second).UnixNano())
+	slow, err := run(loadStalled, 4)
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{Size: fmt.Sprintf("%.0f questions a second for %.0f s; then %.0f for 4 s, with a stall of %v", loadRate, span, loadStalled, stall)}
+	r.AtLeast("questions a second", loadLow, float64(x.Asked)/x.Seconds, "1/s")
+	r.AtMost("the tool's own lateness at the 99th percentile", 1, x.ToolLate.P99, "ms")
+	// A thirteenth of the questions falls into the stall and half of those wait for
+	// half of it: a closed loop would have one slow answer for each connection.
+	r.AtLeast("the stall shows: the slowest hundredth took at least half of it", stall.Seconds()*500, slow.Classes["job"].P99, "ms")
+	r.AtMost("questions without an answer", 0, float64(x.Jobs-x.Status["200"]+slow.Jobs-slow.Status["200"]), "jobs")
+	r.Note("lateness, worst", x.ToolLate.Max, "ms")
+	r.Note("answer, median", x.Classes["job"].P50, "ms")
+	return r, nil
+}
--- /dev/null
+++ b/internal/lab/loadtool.go
@@ -0,0 +1,313 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"example.org/bellstream/internal/load"
+)
+
+// Bounds of the load tool.
+const (
+	inFlightMost = 20_000
+	lateMost     = time.Millisecond // of the tool itself, at the 99th percentile; above it the run is void
+)
+
+// LoadOptions are what the load tool runs with.
+type LoadOptions struct {
+	Targets  []string // in turn
+	Settings load.Settings
+	Trace    []load.Job // played instead of what the settings draw
+	Progress io.Writer  // a line a second; nil: none
+	Closed   int        // so many clients that ask when they have their answer, for comparison; 0: open loop
+}
+
+// LoadReport is what the clients saw. Times count from when a question was due,
+// not from when it was asked: a slow server does not slow the questions, and a
+// late tool is not hidden.
+type LoadReport struct {
+	Jobs     int                 `json:"jobs"`
+	Asked    int                 `json:"asked"` // with retries
+	Unasked  int                 `json:"unasked"`
+	Left     int                 `json:"left"`
+	Seconds  float64             `json:"seconds"`
+	Status   map[string]int      `json:"status"` // of final answers; "none": there was none
+	Classes  map[string]*Latency `json:"classes"`
+	Tenants  map[string]*Latency `json:"tenants"`
+	ToolLate *Latency            `json:"tool_late"` // how long after they were due questions were asked
+	Void     string              `json:"void,omitempty"`
+}
+
+// Latency is a distribution, in milliseconds.
+type Latency struct {
+	N    int64   `json:"n"`
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+	h    *hdrhistogram.Histogram
+}
+
+func newLatency() *Latency { return &Latency{h: hdrhistogram.New(1, 600_000_000, 3)} }
+
+func (l *Latency) add(d time.Duration) { l.h.RecordValue(min(max(d.Microseconds(), 1), 600_000_000)) }
+
+func (l *Latency) sum() {
+	at := func(q float64) float64 { return float64(l.h.ValueAtQuantile(q)) / 1000 }
+	l.N, l.P50, l.P90, l.P99, l.P999, l.Max = l.h.TotalCount(), at(50), at(90), at(99), at(99.9), float64(l.h.Max())/1000
+}
+
+// loader is a run.
+type loader struct {
+	LoadOptions
+	client *http.Client
+	began  time.Time
+	all    sync.WaitGroup
+	mu     sync.Mutex
+	open   int
+	n      int
+	report LoadReport
+}
+
+// RunLoad asks until its source or the context ends, and then waits for answers.
+func RunLoad(ctx context.Context, o LoadOptions) (*LoadReport, error) {
+	if len(o.Targets) == 0 {
+		return nil, fmt.Errorf("target: there is none")
+	}
+	if o.Trace == nil {
+		if err := o.Settings.Check(); err != nil {
+			return nil, err
+		}
+	}
+	l := &loader{LoadOptions: o, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 0, DisableCompression: true}},
+		report: LoadReport{Status: map[string]int{}, Classes: map[string]*Latency{}, Tenants: map[string]*Latency{}, ToolLate: newLatency()}}
+	defer l.client.CloseIdleConnections()
+	source := load.NewSource(o.Settings)
+	next := source.Next
+	if o.Trace != nil {
+		rest := o.Trace
+		next = func() (load.Job, bool) {
+			if len(rest) == 0 {
+				return load.Job{}, false
+			}
+			j := rest[0]
+			rest = rest[1:]
+			return j, true
+		}
+	}
+	stop := make(chan struct{})
+	if o.Progress != nil {
+		go l.progress(stop)
+	}
+	l.began = time.Now()
+	// The runtime's own timers are a millisecond late when little else happens.
+	runtime.LockOSThread()
+	turns := make(chan struct{}, max(l.Closed, 1))
+	for ctx.Err() == nil {
+		j, ok := next()
+		if !ok {
+			break
+		}
+		due := l.began.Add(time.Duration(j.At * float64(time.Second)))
+		nap(ctx, due)
+		if l.Closed > 0 { // what a slow server does to such a client: the question comes later
+			turns <- struct{}{}
+			due = time.Now()
+		}
+		l.mu.Lock()
+		l.report.Jobs++
+		full := l.open >= inFlightMost
+		if full {
+			l.report.Unasked++
+		} else {
+			l.open++
+		}
+		l.mu.Unlock()
+		if !full {
+			l.all.Add(1)
+			go func() {
+				l.play(j, due)
+				if l.Closed > 0 {
+					<-turns
+				}
+			}()
+		}
+	}
+	runtime.UnlockOSThread()
+	l.report.Seconds = time.Since(l.began).Seconds()
+	l.all.Wait()
+	close(stop)
+	return l.finish(ctx), nil
+}
+
+// nap sleeps until a time by the system's clock itself, in parts so that an end
+// is noticed.
+func nap(ctx context.Context, until time.Time) {
+	for ctx.Err() == nil {
+		left := time.Until(until)
+		if left <= 0 {
+			return
+		}
+		t := syscall.NsecToTimespec(int64(min(left, 100*time.Millisecond)))
+		syscall.Nanosleep(&t, nil)
+	}
+}
+
+// play asks a job's question, again where the client would.
+func (l *loader) play(j load.Job, due time.Time) {
+	defer l.all.Done()
+	end := due.Add(time.Duration(j.Patience * float64(time.Second)))
+	status, left := 0, false
+	for tries := 1; ; tries++ {
+		var after float64
+		status, after, left = l.ask(j, due, end, tries)
+		in, again := l.Settings.Again(status, tries, after, time.Until(end).Seconds())
+		if !again || left {
+			break
+		}
+		time.Sleep(time.Duration(in * float64(time.Second)))
+	}
+	took := time.Since(due)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	if left {
+		l.report.Left++
+		return
+	}
+	name := strconv.Itoa(status)
+	if status == 0 {
+		name = "none"
+	}
+	l.report.Status[name]++
+	for m, key := range map[*map[string]*Latency]string{&l.report.Classes: j.Class, &l.report.Tenants: j.Tenant} {
+		if (*m)[key] == nil {
+			(*m)[key] = newLatency()
+		}
+		(*m)[key].add(took)
+	}
+}
+
+func (l *loader) ask(j load.Job, due, end time.Time, tries int) (status int, after float64, left bool) {
+	l.mu.Lock()
+	l.n++
+	n := l.n
+	l.mu.Unlock()
+	until := end.Add(250 * time.Millisecond) // to see an answer that comes on the second
+	if j.Leaves > 0 {
+		until = due.Add(time.Duration(j.Leaves * float64(time.Second)))
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Targets[n%len(l.Targets)]+"/"+j.Class,
+		strings.NewReader(fmt.Sprintf("%s %d slots=%v", j.Tenant, n%len(l.Targets), j.Slots)))
+	if err != nil {
+		return 0, 0, false
+	}
+	id := fmt.Sprintf("%08x%08x", uint32(l.Settings.Seed), n)
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Request-Class", j.Class)
+	req.Header.Set("Tenant", j.Tenant)
+	req.Header.Set("Request-Timeout", strconv.FormatFloat(max(time.Until(end).Seconds(), 0.001), 'f', 3, 64))
+	if j.Keyed {
+		req.Header.Set("Idempotency-Key", id+id)
+	}
+	if j.Slots > 1 {
+		req.Header.Set("Request-Info", fmt.Sprintf("slots=%v", j.Slots))
+	}
+	if tries > 1 {
+		req.Header.Set("Client-Retry", "1")
+	}
+	late := time.Since(due)
+	l.mu.Lock()
+	if l.report.Asked++; tries == 1 {
+		l.report.ToolLate.add(late)
+	}
+	l.mu.Unlock()
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return 0, 0, j.Leaves > 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil {
+		return 0, 0, j.Leaves > 0
+	}
+	after, _ = strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	return resp.StatusCode, after, false
+}
+
+func (l *loader) progress(stop chan struct{}) {
+	for t := time.NewTicker(time.Second); ; {
+		select {
+		case <-stop:
+			t.Stop()
+			return
+		case <-t.C:
+			l.mu.Lock()
+			fmt.Fprintf(l.Progress, "\r%6.0f s  %d jobs, %d open, answers %v   ", time.Since(l.began).Seconds(), l.report.Jobs, l.open, l.report.Status)
+			l.mu.Unlock()
+		}
+	}
+}
+
+func (l *loader) finish(ctx context.Context) *LoadReport {
+	r := &l.report
+	for _, m := range []map[string]*Latency{r.Classes, r.Tenants} {
+		for _, x := range m {
+			x.sum()
+		}
+	}
+	r.ToolLate.sum()
+	switch {
+	case ctx.Err() != nil:
+		r.Void = "it was ended before its time"
+	case r.Unasked > 0:
+		r.Void = fmt.Sprintf("%d questions were not asked: %d were open", r.Unasked, inFlightMost)
+	case r.ToolLate.P99 > float64(lateMost.Microseconds())/1000:
+		r.Void = fmt.Sprintf("the tool itself was late: %.2f ms at the 99th percentile", r.ToolLate.P99)
+	}
+	if l.Progress != nil {
+		fmt.Fprintln(l.Progress)
+	}
+	return r
+}
+
+// Print writes the report for people.
+func (r *LoadReport) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "%d jobs in %.1f s, %.0f a second; %d questions asked, %d clients left\n\nANSWER\tJOBS\n", r.Jobs, r.Seconds, float64(r.Jobs)/r.Seconds, r.Asked, r.Left)
+	for _, s := range slices.Sorted(maps.Keys(r.Status)) {
+		fmt.Fprintf(t, "%s\t%d\n", s, r.Status[s])
+	}
+	fmt.Fprintf(t, "\nMS\tN\tP50\tP90\tP99\tP99.9\tMAX\n")
+	line := func(name string, l *Latency) {
+		fmt.Fprintf(t, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n", name, l.N, l.P50, l.P90, l.P99, l.P999, l.Max)
+	}
+	for _, m := range []struct {
+		what string
+		of   map[string]*Latency
+	}{{"class ", r.Classes}, {"tenant ", r.Tenants}} {
+		for _, k := range slices.Sorted(maps.Keys(m.of)) {
+			line(m.what+k, m.of[k])
+		}
+	}
+	line("the tool's own lateness", r.ToolLate)
+	if r.Void != "" {
+		fmt.Fprintf(t, "\nVOID: %s\n", r.Void)
+	}
+	return t.Flush()
+}
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 
+	"example.org/bellstream/internal/report"
 	"example.org/bellstream/internal/virtual"
 )
 
@@ -46,6 +48,17 @@
 		return f.Run(), nil
 	}
 	r := &Result{Size: fmt.Sprintf("up to %d workers of 4 slots, load 75%%, %d cores", sizes[len(sizes)-1].workers, runtime.GOMAXPROCS(0))}
+	cpuPlot := report.Plot{Title: "CPU of the decisions, a job", X: "workers", Y: "us", LogX: true}
+	memoryPlot := report.Plot{Title: "Memory of a dispatcher", X: "workers", Y: "MB", LogX: true}
+	grow := func(p *report.Plot, s scaleSize, y float64) {
+		name := fmt.Sprintf("%d dispatchers", s.dispatchers)
+		i := slices.IndexFunc(p.Lines, func(l report.Line) bool { return l.Name == name })
+		if i < 0 {
+			i = len(p.Lines)
+			p.Lines = append(p.Lines, report.Line{Name: name})
+		}
+		p.Lines[i].X, p.Lines[i].Y = append(p.Lines[i].X, float64(s.workers)), append(p.Lines[i].Y, y)
+	}
 	var first uint64
 	cost := map[scaleSize]float64{}
 	for i, s := range sizes {
@@ -60,6 +73,8 @@
 			float64(x.Attempts)/float64(x.Jobs), x.Late, x.Refused, x.Failed, float64(x.Heap)/1e6/float64(s.dispatchers), s.span, x.Wall.Seconds())
 		r.AtLeast(name+": worth against one queue that sees all", scaleWorth, worth, "part")
 		r.AtMost(name+": CPU of the decisions a job", scaleBase+scaleEach*float64(s.workers)/float64(s.dispatchers), cpu, "us")
+		grow(&cpuPlot, s, cpu)
+		grow(&memoryPlot, s, float64(x.Heap)/1e6/float64(s.dispatchers))
 		r.Note(name+": memory a dispatcher", float64(x.Heap)/1e6/float64(s.dispatchers), "MB")
 		r.Note(name+": attempts a job", float64(x.Attempts)/float64(x.Jobs), "attempts")
 		if i == 0 {
@@ -69,6 +84,7 @@
 			r.AtMost("the largest minute against real time", 1, x.Wall.Seconds()/s.span, "part")
 		}
 	}
+	r.Plots = append(r.Plots, cpuPlot, memoryPlot)
 	again, err := play(sizes[0])
 	if err != nil {
 		return nil, err
--- a/internal/lab/silent.go
+++ b/internal/lab/silent.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
 	"example.org/bellstream/internal/audit"
 	"example.org/bellstream/internal/fault"
+	"example.org/bellstream/internal/report"
 )
 
 var silentExperiment = Experiment{
@@ -35,6 +38,7 @@
 	tries      []audit.Attempt
 	found      []audit.Finding
 	silent     map[string]bool
+	start      time.Time
 	begin, end time.Time // of the silence
 	clock      func(time.Time) float64
 }
@@ -79,7 +83,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), span)
 	defer stop()
 	all := 0.6 * float64(workers*slots) / mean.Seconds()
-	r := &silentRun{silent: map[string]bool{}, clock: fleet.Clock}
+	r := &silentRun{silent: map[string]bool{}, clock: fleet.Clock, start: time.Now()}
 	load.Play(ctx, p.Seed, []Stream{{Tenant: "t", Class: "read", Rate: 0.6 * all, Patience: 3 * time.Second},
 		{Tenant: "t", Class: "write", Rate: 0.25 * all, Patience: 3 * time.Second},
 		{Tenant: "t", Class: "assign", Rate: 0.15 * all, Patience: 3 * time.Second, Keyed: true}})
@@ -138,6 +142,50 @@
 	return worth, whole
 }
 
+func (r *silentRun) since(t time.Time) float64 { return t.Sub(r.start).Seconds() }
+
+// curve is the part of each second's worth that was earned.
+func (r *silentRun) curve(name string) report.Line {
+	earned, came := map[int]float64{}, map[int]float64{}
+	last := 0
+	for _, a := range r.answers {
+		s := int(max(0, r.since(a.At)))
+		came[s]++
+		if last = max(last, s); a.Status == 200 && a.Took <= silentAim {
+			earned[s]++
+		}
+	}
+	l := report.Line{Name: name}
+	for s := range last {
+		if came[s] > 0 {
+			l.X, l.Y = append(l.X, float64(s)), append(l.Y, earned[s]/came[s])
+		}
+	}
+	return l
+}
+
+// latencies is the part of each class's answers that had come after a time.
+func latencies(answers []Answer) report.Plot {
+	p := report.Plot{Title: "Answers that have come after so long, by class", X: "ms", Y: "part", LogX: true}
+	by := map[string][]float64{}
+	for _, a := range answers {
+		if a.Status > 0 {
+			by[a.Class] = append(by[a.Class], max(a.Took.Seconds()*1000, 0.1))
+		}
+	}
+	for _, class := range slices.Sorted(maps.Keys(by)) {
+		list := by[class]
+		slices.Sort(list)
+		l := report.Line{Name: class}
+		for i := range 101 {
+			k := min(i*len(list)/100, len(list)-1)
+			l.X, l.Y = append(l.X, list[k]), append(l.Y, float64(k+1)/float64(len(list)))
+		}
+		p.Lines = append(p.Lines, l)
+	}
+	return p
+}
+
 // trials is how often a silent worker got a job once the others had had time to
 // notice, a second; settled is when the last of them had none in a whole second.
 func (r *silentRun) trials() (rate, settled float64) {
@@ -196,6 +244,9 @@
 	r.Note("worth kept, of all that came", worth/whole, "part")
 	r.Note("the ideal's", best/bestWhole, "part")
 	r.Note("rules broken in the ideal's run", float64(len(ideal.found)), "findings")
+	curves := report.Plot{Title: "Worth of the jobs that came, in each second", X: "s", Y: "part",
+		Bands: []report.Band{{Name: "silence", From: run.since(run.begin), To: run.since(run.end)}},
+		Lines: []report.Line{run.curve("one that learns"), ideal.curve("one that is told")}}
 	if !p.Quick {
 		p.Log("for comparison: each job to the next worker, nothing learned")
 		plain, err := playSilent(p, "plain", workers, silent, span, false, false)
@@ -206,7 +257,9 @@
 		rate, _ := plain.trials()
 		r.Note("worth kept where each job goes to the next worker", n/of, "part")
 		r.Note("jobs a second that a silent worker gets there", rate, "jobs/s")
+		curves.Lines = append(curves.Lines, plain.curve("each job to the next worker"))
 	}
+	r.Plots = append(r.Plots, curves, latencies(run.answers))
 	for i, f := range append(run.found, ideal.found...) {
 		if i < 20 {
 			p.Log("%v", f)
