Measure how closely sockets and virtual time agree; void what was cut short

Need: virtual time is only worth its word if sockets show the same; and a run that was ended by hand, or lost its process, must not look green.

Change: experiment 'agree' plays one fleet and load at a real process and in virtual time. An experiment whose process ends by itself is void; so is one that Ctrl-C ends, which still writes its report and leaves neither process nor files.

--- a/cmd/bellstream-lab/main.go
+++ b/cmd/bellstream-lab/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"strings"
+	"sync"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -145,12 +146,41 @@
 	if r.Seed == 0 {
 		r.Seed = rand.Uint64() >> 11 // to be exact in JSON
 	}
+	// Ctrl-C ends it: the processes end with this one, the report says that it is void.
+	if r.Out == "" {
+		dir, err := os.MkdirTemp("", "bellstream-lab-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "bellstream-lab:", err)
+			os.Exit(2)
+		}
+		r.Out = dir
+		drop = func() { os.RemoveAll(dir) }
+	}
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stops
+		finish(r, e.Ended(r.Seed))
+	}()
 	result, err := e.Play(lab.Params{Seed: r.Seed, Quick: r.Quick, Without: r.Without, Out: r.Out, Program: r.Program,
 		Log: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }})
 	if err != nil {
+		drop()
 		fmt.Fprintln(os.Stderr, "bellstream-lab:", err)
 		os.Exit(2)
 	}
+	finish(r, result)
+}
+
+// drop removes what was put aside for an experiment.
+var drop = func() {}
+
+var finishing sync.Mutex // one result, whichever comes first
+
+// finish writes the result and ends the program with its code.
+func finish(r runCmd, result *lab.Result) {
+	finishing.Lock()
+	drop()
 	if r.Report != "" {
 		if err := write(r.Report, result); err != nil {
 			fmt.Fprintln(os.Stderr, "bellstream-lab:", err)
@@ -163,6 +193,7 @@
 	if !result.Held {
 		os.Exit(1)
 	}
+	os.Exit(0)
 }
 
 func write(path string, r *lab.Result) error {
--- /dev/null
+++ b/cmd/bellstream-lab/main_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the laboratory, and for the program
+// that an experiment starts: one that says that it is healthy, and who it is.
+func TestMain(m *testing.M) {
+	switch {
+	case os.Getenv("LAB_STAND_IN") != "" && os.Getenv("RELAY_CONFIG") != "":
+		raw, _ := os.ReadFile(os.Getenv("RELAY_CONFIG"))
+		var c struct{ Listen string }
+		json.Unmarshal(raw, &c)
+		l, err := net.Listen("tcp", c.Listen)
+		if err != nil {
+			os.Exit(1)
+		}
+		os.WriteFile(os.Getenv("LAB_STAND_IN"), []byte(strconv.Itoa(os.Getpid())), 0o600)
+		http.Serve(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	case os.Getenv("LAB_MAIN") != "":
+		main()
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// Ctrl-C in the middle: the result is void, the report is written, the processes
+// of the experiment and its files are gone.
+func TestEndedByHand(t *testing.T) {
+	dir := t.TempDir()
+	pidFile, reportFile, temp := filepath.Join(dir, "pid"), filepath.Join(dir, "report.html"), filepath.Join(dir, "temp")
+	os.Mkdir(temp, 0o700)
+	cmd := exec.Command(os.Args[0], "run", "silent", "--quick", "--seed", "3", "--json", "--report", reportFile, "--program", os.Args[0])
+	cmd.Env = append(os.Environ(), "LAB_MAIN=1", "LAB_STAND_IN="+pidFile, "TMPDIR="+temp)
+	var out strings.Builder
+	cmd.Stdout = &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	until := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(15 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("not in 15 s: %s", what)
+			}
+		}
+	}
+	pid := 0
+	until("the experiment's process is there", func() bool {
+		raw, err := os.ReadFile(pidFile)
+		pid, _ = strconv.Atoi(string(raw))
+		return err == nil && pid > 0
+	})
+	cmd.Process.Signal(os.Interrupt)
+	cmd.Wait()
+	var r struct {
+		Void string
+		Held bool
+	}
+	if err := json.Unmarshal([]byte(out.String()), &r); err != nil || cmd.ProcessState.ExitCode() != 1 || r.Held || !strings.Contains(r.Void, "ended") {
+		t.Errorf("exit %d, %v: %s", cmd.ProcessState.ExitCode(), err, out.String())
+	}
+	if raw, err := os.ReadFile(reportFile); err != nil || !strings.Contains(string(raw), "Void: it was ended") {
+		t.Errorf("report: %v, %.100s", err, raw)
+	}
+	until("its process is gone", func() bool { return errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) })
+	if left, _ := os.ReadDir(temp); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
+
+func TestMisuse(t *testing.T) {
+	for _, args := range [][]string{{"run", "nonsense"}, {"run", "scale", "--without", "luck"}, {"load"}, {"load", "127.0.0.1:1", "--rate", "0"}, {"load", "127.0.0.1:1", "--trace", "none.jsonl"}} {
+		cmd := exec.Command(os.Args[0], args...)
+		cmd.Env = append(os.Environ(), "LAB_MAIN=1")
+		if out, err := cmd.CombinedOutput(); cmd.ProcessState.ExitCode() != 2 {
+			t.Errorf("%v: %v, %s", args, err, out)
+		}
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -39,6 +39,7 @@
 	Size       string   `json:"size"`
 	Claims     []Claim  `json:"claims"`
 	Held       bool     `json:"held"`
+	Void       string   `json:"void,omitempty"` // why it shows nothing
 	Beside     []Beside `json:"beside,omitempty"`
 	// Plots are for reports.
 	Plots []report.Plot `json:"-"`
@@ -46,7 +47,7 @@
 
 // Page is the result as a report.
 func (r *Result) Page() *report.Page {
-	p := &report.Page{Title: "bellstream: " + r.Experiment, Sub: fmt.Sprintf("Seed %d. %s.", r.Seed, r.Size), Plots: r.Plots,
+	p := &report.Page{Title: "bellstream: " + r.Experiment, Sub: fmt.Sprintf("Seed %d. %s.", r.Seed, r.Size), Void: r.Void, Plots: r.Plots,
 		Notes: []string{"Claims were stated in advance and are measured from outside, by the records of workers and clients."}}
 	for _, c := range r.Claims {
 		p.Claims = append(p.Claims, report.Row{Name: c.Name, Bound: fmt.Sprintf("%.4g", c.Bound), Measured: fmt.Sprintf("%.4g", c.Measured), Unit: c.Unit, Held: c.Held})
@@ -74,12 +75,13 @@
 
 // Params are what an experiment is run with.
 type Params struct {
-	Seed    uint64
-	Quick   bool   // ends within 50 s
-	Without string // the mechanism to switch off
-	Out     string // folder for logs; empty: a temporary one, removed
-	Program string // bin/bellstream
-	Log     func(format string, args ...any)
+	Seed      uint64
+	Quick     bool           // ends within 50 s
+	Without   string         // the mechanism to switch off
+	Out       string         // folder for logs; empty: a temporary one, removed
+	Program   string         // bin/bellstream
+	processes *[]*Dispatcher // that were started and have to live until they are ended
+	Log       func(format string, args ...any)
 }
 
 // Experiment is one of the laboratory's.
@@ -90,7 +92,7 @@
 }
 
 // Experiments are all there are.
-var Experiments = []Experiment{countsExperiment, countsLarge, waitingExperiment, ageingExperiment, silentExperiment, scaleExperiment, loadExperiment}
+var Experiments = []Experiment{countsExperiment, countsLarge, waitingExperiment, ageingExperiment, silentExperiment, scaleExperiment, agreeExperiment, loadExperiment}
 
 // Find returns an experiment by name.
 func Find(name string) *Experiment {
@@ -126,18 +128,36 @@
 		return nil, err
 	}
 	began := time.Now()
+	p.processes = new([]*Dispatcher)
 	r, err := e.Run(p)
 	if err != nil {
 		return nil, err
 	}
-	r.Experiment, r.Seed, r.Held = e.Name, p.Seed, len(r.Claims) > 0
-	for _, c := range r.Claims {
-		r.Held = r.Held && c.Held
+	for _, d := range *p.processes {
+		if d.died {
+			r.Void = fmt.Sprintf("process %s ended before its time", d.Name)
+		}
 	}
+	r.judge(e.Name, p.Seed)
 	p.Log("%s took %.1f s", e.Name, time.Since(began).Seconds())
 	return r, nil
 }
 
+// judge says whether all claims hold. What is void holds nothing.
+func (r *Result) judge(name string, seed uint64) {
+	r.Experiment, r.Seed, r.Held = name, seed, len(r.Claims) > 0 && r.Void == ""
+	for _, c := range r.Claims {
+		r.Held = r.Held && c.Held
+	}
+}
+
+// Ended is the result of an experiment that was ended by hand.
+func (e *Experiment) Ended(seed uint64) *Result {
+	r := &Result{Void: "it was ended before its time"}
+	r.judge(e.Name, seed)
+	return r
+}
+
 // Print writes a result for people, or as JSON.
 func (r *Result) Print(w io.Writer, asJSON bool) error {
 	if asJSON {
@@ -148,6 +168,9 @@
 	for _, c := range r.Claims {
 		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%s\t%v\n", c.Name, c.Bound, c.Measured, c.Unit, c.Held)
 	}
+	if r.Void != "" {
+		fmt.Fprintf(t, "\nVOID: %s: it shows nothing\n", r.Void)
+	}
 	if len(r.Beside) > 0 {
 		fmt.Fprintf(t, "\nBESIDE\tVALUE\tUNIT\n")
 		for _, b := range r.Beside {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -8,6 +8,8 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -158,3 +160,32 @@
 		t.Errorf("%s", raw)
 	}
 }
+
+// A process that ends by itself makes its experiment void, whatever the figures say.
+func TestDeadProcessIsVoid(t *testing.T) {
+	e := Experiment{Name: "x", Run: func(p Params) (*Result, error) {
+		d := &Dispatcher{Name: "n0", cmd: exec.Command(os.Args[0], "-test.run=^$"), ended: make(chan error, 1)}
+		*p.processes = append(*p.processes, d)
+		if err := d.cmd.Start(); err != nil {
+			return nil, err
+		}
+		err := d.cmd.Wait() // not by Kill
+		d.ended <- err
+		d.Kill()
+		r := &Result{}
+		r.AtMost("all is well", 1, 0, "")
+		return r, nil
+	}}
+	r, err := e.Play(Params{Out: t.TempDir()})
+	if err != nil || r.Held || !strings.Contains(r.Void, "n0 ended") {
+		t.Errorf("%+v, %v", r, err)
+	}
+	var b bytes.Buffer
+	r.Print(&b, false)
+	if !strings.Contains(b.String(), "VOID: process n0") {
+		t.Error(b.String())
+	}
+	if r := e.Ended(3); r.Held || r.Void == "" || r.Seed != 3 {
+		t.Errorf("%+v", r)
+	}
+}
--- a/internal/lab/loadtool.go
+++ b/internal/lab/loadtool.go
@@ -30,9 +30,10 @@
 type LoadOptions struct {
 	Targets  []string // in turn
 	Settings load.Settings
-	Trace    []load.Job // played instead of what the settings draw
-	Progress io.Writer  // a line a second; nil: none
-	Closed   int        // so many clients that ask when they have their answer, for comparison; 0: open loop
+	Trace    []load.Job    // played instead of what the settings draw
+	Progress io.Writer     // a line a second; nil: none
+	Aim      time.Duration // an answer of 200 within that is in time; 0: all are
+	Closed   int           // so many clients that ask when they have their answer, for comparison; 0: open loop
 }
 
 // LoadReport is what the clients saw. Times count from when a question was due,
@@ -43,6 +44,7 @@
 	Asked    int                 `json:"asked"` // with retries
 	Unasked  int                 `json:"unasked"`
 	Left     int                 `json:"left"`
+	InTime   int                 `json:"in_time"`
 	Seconds  float64             `json:"seconds"`
 	Status   map[string]int      `json:"status"` // of final answers; "none": there was none
 	Classes  map[string]*Latency `json:"classes"`
@@ -194,6 +196,9 @@
 		name = "none"
 	}
 	l.report.Status[name]++
+	if status == http.StatusOK && (l.Aim == 0 || took <= l.Aim) {
+		l.report.InTime++
+	}
 	for m, key := range map[*map[string]*Latency]string{&l.report.Classes: j.Class, &l.report.Tenants: j.Tenant} {
 		if (*m)[key] == nil {
 			(*m)[key] = newLatency()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -19,6 +19,7 @@
 	program, log      string
 	cmd               *exec.Cmd
 	ended             chan error
+	died              bool // it ended by itself
 }
 
 // freePort is a TCP port of an address that is free now.
@@ -63,6 +64,9 @@
 		return nil, err
 	}
 	d.Addr = addr
+	if p.processes != nil {
+		*p.processes = append(*p.processes, d)
+	}
 	return d, d.Start()
 }
 
@@ -102,8 +106,13 @@
 // Kill ends the process at once.
 func (d *Dispatcher) Kill() {
 	if d.cmd != nil && d.cmd.Process != nil {
-		d.cmd.Process.Kill()
-		<-d.ended
+		select {
+		case <-d.ended:
+			d.died = true
+		default:
+			d.cmd.Process.Kill()
+			<-d.ended
+		}
 		d.cmd = nil
 	}
 }
--- a/internal/virtual/fleet.go
+++ b/internal/virtual/fleet.go
@@ -29,7 +29,8 @@
 	Patience    float64
 	Tick        float64 // of the dispatchers; a message takes one, each way
 	Span        float64
-	Blind       bool // no reports and no probes
+	Quota       float64 // of the one tenant, jobs a second; 0: all that comes
+	Blind       bool    // no reports and no probes
 }
 
 // FleetResult is what came of it. Digest, and all but the last three figures,
@@ -37,7 +38,8 @@
 type FleetResult struct {
 	Jobs, InTime, Late, Refused, Failed int
 	Attempts                            int
-	Ideal                               int // in time where one queue sees all and nothing takes a way
+	Ideal                               int       // in time where one queue sees all and nothing takes a way
+	Took                                []float64 // of those that were served, s
 	Digest                              uint64
 	CPU                                 time.Duration // of the decisions, all dispatchers together
 	Wall                                time.Duration
@@ -116,10 +118,13 @@
 		f.index[f.names[i]] = i
 		list = append(list, balance.WorkerInfo{ID: f.names[i], Zone: fmt.Sprint("z", i%4), State: balance.Running})
 	}
+	if s.Quota == 0 {
+		s.Quota = s.Load * float64(s.Workers) * s.Slots / s.Mean
+	}
 	for i := range s.Dispatchers {
 		cfg := balance.Config{Index: i, Dispatchers: s.Dispatchers, Zone: fmt.Sprint("z", i%4),
 			Classes:      []balance.Class{{Name: "job", Aim: s.Aim, Deadline: s.Patience, Worth: 1, Repeat: balance.Safe}},
-			Tenants:      []balance.Tenant{{Name: "t", Quota: s.Load * float64(s.Workers) * s.Slots / s.Mean}},
+			Tenants:      []balance.Tenant{{Name: "t", Quota: s.Quota}},
 			ReportFields: []string{balance.FieldFreeSlots, balance.FieldWaiting}, StartNotes: true, MarksRetry: true, MaxAttempts: 3,
 			Probes: !s.Blind, Cancels: true, Tick: s.Tick, MaxRetryAfter: 2, ProbeCharge: 0.01}
 		if s.Blind {
@@ -184,6 +189,7 @@
 	sum := xxhash.New()
 	for _, d := range f.all {
 		r.Jobs, r.InTime, r.Late, r.Refused, r.Failed = r.Jobs+d.Jobs, r.InTime+d.InTime, r.Late+d.Late, r.Refused+d.Refused, r.Failed+d.Failed
+		r.Took = append(r.Took, d.Took...)
 		r.Attempts, r.CPU = r.Attempts+d.Attempts, r.CPU+d.cpu
 		binary.Write(sum, binary.LittleEndian, d.sum.Sum64())
 	}
@@ -285,6 +291,9 @@
 	}
 	j.closed = true
 	delete(d.jobs, j.id)
+	if how == 'S' {
+		d.Took = append(d.Took, f.now-j.born)
+	}
 	switch {
 	case how == 'R':
 		d.Refused++
