Run a fleet of emulated workers as a file describes it

Need: people who did not write the code have to set up workers and their failures beside a dispatcher of their own.

Change: bellstream-lab fleet FILE: groups of workers (slots, queue, zone, kind, speed, cold start) and faults by name and time (silent, errors, neighbour, heavy tail, lying reports, half answers, rolling deploys), in HCL with mistakes named by file, line and key; a record of all attempts.

--- a/cmd/bellstream-lab/main.go
+++ b/cmd/bellstream-lab/main.go
@@ -23,6 +23,7 @@
 	List    struct{}   `cmd:"" help:"List the experiments."`
 	Run     runCmd     `cmd:"" help:"Run one."`
 	Load    loadCmd    `cmd:"" help:"Ask a dispatcher, open loop, and say what its clients saw."`
+	Fleet   fleetCmd   `cmd:"" help:"Run a fleet of emulated workers and discovery, as a file describes it, until Ctrl-C."`
 	Compare compareCmd `cmd:"" help:"Compare two builds, or one with and without a mechanism, pair by pair on the same seeds."`
 }
 
@@ -139,6 +140,13 @@
 	if strings.HasPrefix(ctx.Command(), "load") {
 		os.Exit(c.Load.run())
 	}
+	if strings.HasPrefix(ctx.Command(), "fleet") {
+		if err := c.Fleet.run(os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "bellstream-lab:", err)
+			os.Exit(2)
+		}
+		return
+	}
 	log := func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
 	if strings.HasPrefix(ctx.Command(), "compare") {
 		if err := c.Compare.run(os.Stdout, log); err != nil {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -34,8 +34,7 @@
 // slots with a queue, load reports with answers and probes. It keeps a record
 // of every job that a worker took.
 type Fleet struct {
-	Slots int
-	Mean  time.Duration // of a job's work, exponential
+	Mean time.Duration // of a job's work, exponential
 
 	mu      sync.Mutex
 	jobs    []Job
@@ -48,14 +47,19 @@
 	workers []*emulated
 	disc    net.Listener
 	servers []*http.Server
+	faults  []*FleetFault
 }
 
 type emulated struct {
 	f      *Fleet
 	name   string
+	group  string
+	zone   string
+	kind   string
 	addr   string
-	health string // as discovery has it; the fleet's lock
-	seq    int    // of its last change
+	health string    // as discovery has it; the fleet's lock
+	seq    int       // of its last change
+	born   time.Time // of its last start; zero: long ago
 	mu     sync.Mutex
 	model  *emulator.Worker
 	waits  map[string]chan emulator.Event // by job that it has taken
@@ -73,30 +77,46 @@
 
 // NewFleet starts so many workers and a discovery that knows them.
 func NewFleet(seed uint64, workers, slots int, mean time.Duration) (*Fleet, error) {
-	f := &Fleet{Slots: slots, Mean: mean, base: time.Now(), seq: 1, changed: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 0xf1ee7))}
+	f := newFleet(seed, mean)
 	for i := range workers {
-		w := &emulated{f: f, health: "active", seq: 1, name: fmt.Sprintf("w-%02d", i), waits: map[string]chan emulator.Event{},
-			model: emulator.New(emulator.Settings{Slots: float64(slots), Queue: 2 * slots}, nil)}
-		w.timer = time.AfterFunc(time.Hour, func() { w.play(func(float64) {}) })
-		l, err := f.serve(w)
-		if err != nil {
+		if err := f.add(fmt.Sprintf("w-%02d", i), "w", "z", "k", emulator.Settings{Slots: float64(slots), Queue: 2 * slots}); err != nil {
 			f.Close()
 			return nil, err
 		}
-		w.addr = l.Addr().String()
-		f.workers = append(f.workers, w)
 	}
-	l, err := f.serve(http.HandlerFunc(f.discovery))
-	if err != nil {
+	if err := f.open("127.0.0.1:0"); err != nil {
 		f.Close()
 		return nil, err
 	}
-	f.disc = l
 	return f, nil
 }
 
-func (f *Fleet) serve(h http.Handler) (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newFleet(seed uint64, mean time.Duration) *Fleet {
+	return &Fleet{Mean: mean, base: time.Now(), seq: 1, changed: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 0xf1ee7))}
+}
+
+// add starts a worker.
+func (f *Fleet) add(name, group, zone, kind string, s emulator.Settings) error {
+	w := &emulated{f: f, health: "active", seq: 1, name: name, group: group, zone: zone, kind: kind, waits: map[string]chan emulator.Event{},
+		model: emulator.New(s, nil)}
+	w.timer = time.AfterFunc(time.Hour, func() { w.play(func(float64) {}) })
+	l, err := f.serve("127.0.0.1:0", w)
+	if err != nil {
+		return err
+	}
+	w.addr = l.Addr().String()
+	f.workers = append(f.workers, w)
+	return nil
+}
+
+// open starts discovery.
+func (f *Fleet) open(listen string) (err error) {
+	f.disc, err = f.serve(listen, http.HandlerFunc(f.discovery))
+	return err
+}
+
+func (f *Fleet) serve(listen string, h http.Handler) (net.Listener, error) {
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +159,7 @@
 // Workers are the fleet's, for an audit.
 func (f *Fleet) Workers() (list []audit.Worker) {
 	for _, w := range f.workers {
-		list = append(list, audit.Worker{Name: w.name, Zone: "z", Slots: float64(f.Slots)})
+		list = append(list, audit.Worker{Name: w.name, Zone: w.zone, Slots: w.model.Slots})
 	}
 	return list
 }
@@ -182,7 +202,8 @@
 	var hosts []string
 	for _, w := range f.workers {
 		if w.seq > after {
-			hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","class":"k","block":0,"health":%q,"share":1.0,"born_ms":0}`, w.name, w.addr, w.health))
+			hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":%q,"class":%q,"block":0,"health":%q,"share":1.0,"born_ms":%d}`,
+				w.name, w.addr, w.zone, w.kind, w.health, max(w.born.UnixMilli(), 0)))
 		}
 	}
 	return fmt.Sprintf(`{"seq":%d,"whole":%t,"hosts":[%s]}`, f.seq, after == 0, strings.Join(hosts, ","))
@@ -239,14 +260,17 @@
 
 // play does something to the model now, and hands out what happens by it.
 func (w *emulated) play(do func(now float64)) {
+	w.act(func(now float64) []emulator.Event { do(now); return nil })
+}
+
+func (w *emulated) act(do func(now float64) []emulator.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.f.Clock(time.Now())
-	events := w.model.Advance(now)
-	do(now)
+	events := append(w.model.Advance(now), do(now)...)
 	for _, e := range append(events, w.model.Advance(now)...) {
-		if c := w.waits[e.ID]; c != nil {
-			c <- e // it has room for all that can happen to a job without priorities
+		if c := w.waits[e.ID]; c != nil && e.Kind != emulator.Suspended && e.Kind != emulator.Resumed {
+			c <- e // it has room for a start and an end
 		}
 	}
 	if next := w.model.Next(now); !math.IsInf(next, 1) {
@@ -255,8 +279,12 @@
 }
 
 func (w *emulated) load() (text string) {
+	lies := w.fault(faultLies)
 	w.play(func(now float64) {
 		r := w.model.Report(now)
+		if lies != nil {
+			r.FreeSlots, r.Queue = lies.Free, 0
+		}
 		text = fmt.Sprintf(`{"x0":%v,"waiting":%v}`, r.FreeSlots, r.Queue)
 	})
 	return text
@@ -280,11 +308,18 @@
 	if err != nil {
 		slots = 1
 	}
-	slots = max(1, min(slots, w.f.Slots))
+	slots = max(1, min(slots, int(w.model.Slots)))
 	id := r.Header.Get("Request-Id")
 	w.f.mu.Lock()
-	try := len(w.f.tries)
 	work := time.Duration(w.f.rng.ExpFloat64() * float64(w.f.Mean))
+	w.f.mu.Unlock()
+	for _, kind := range []string{faultSlow, faultTail} {
+		if x := w.fault(kind); x != nil {
+			work = time.Duration(float64(work) * x.Factor)
+		}
+	}
+	w.f.mu.Lock()
+	try := len(w.f.tries)
 	w.f.tries = append(w.f.tries, audit.Attempt{ID: id, Worker: w.name, Dispatcher: entry, First: w.f.Clock(first), Last: w.f.Clock(time.Now()),
 		Work: float64(slots) * work.Seconds()})
 	w.f.mu.Unlock()
@@ -299,6 +334,9 @@
 	w.mu.Lock()
 	silent := time.Until(w.silent)
 	w.mu.Unlock()
+	if x := w.fault(faultSilent); x != nil {
+		silent = time.Until(w.f.base.Add(x.end))
+	}
 	if silent > 0 {
 		select {
 		case <-time.After(silent):
@@ -306,6 +344,11 @@
 			return
 		}
 	}
+	if w.fault(faultErrors) != nil {
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	half := w.fault(faultHalf) != nil
 	news := make(chan emulator.Event, 4)
 	verdict := emulator.Full
 	w.play(func(now float64) {
@@ -338,6 +381,15 @@
 	for ended := false; !ended; {
 		select {
 		case e := <-news:
+			switch e.Kind {
+			case emulator.Returned:
+				unstarted = true
+				say("returned", fmt.Sprintf(`,"load":%s`, w.load()))
+				return
+			case emulator.Lost:
+				say("lost", "")
+				return
+			}
 			w.f.mu.Lock()
 			if ended = e.Kind == emulator.Done; ended {
 				w.f.jobs[nth].Done, w.f.jobs[nth].Failed = time.Now(), fails
@@ -356,6 +408,11 @@
 		say("failed", fmt.Sprintf(`,"load":%s`, w.load()))
 		return
 	}
+	if half {
+		fmt.Fprintf(out, `{"id":%q,"from":%q,"sta`, id, w.name)
+		out.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler) // the server breaks the connection
+	}
 	given = fmt.Sprintf("%s by %s, try %d", id, w.name, try)
 	result, _ := json.Marshal(given)
 	say("done", fmt.Sprintf(`,"result":%s,"load":%s`, result, w.load()))
--- /dev/null
+++ b/internal/lab/fleetfile_test.go
@@ -0,0 +1,125 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestFleetMistakes(t *testing.T) {
+	const worker = "worker \"w\" {\n  count = 2\n}\n"
+	for text, want := range map[string]string{
+		"":                                   "f:1: worker: there is none",
+		"seed = \"x\"":                       "f:1: ",
+		worker + worker:                      "f:4: worker.name: \"w\" is there twice",
+		"mean = \"0s\"\n" + worker:           "f:1: mean: \"0s\" is not above 0",
+		"mean = \"x\"\n" + worker:            "f:1: mean: \"x\" is no duration",
+		"discovery = \"x\"\n" + worker:       "f:1: discovery: ",
+		"worker \"w\" {\n  count = 2000\n}":  "f:2: worker.count: 2000",
+		"worker \"w\" {\n  slots = -1\n}":    "f:2: worker.slots: -1",
+		"worker \"w\" {\n  cold_from = 2\n}": "f:2: worker.cold_from: 2",
+		worker + "fault \"rain\" {}":         "f:4: fault.kind: \"rain\" is none of",
+		worker + "fault \"silent\" {\n  workers = [\"w-05\"]\n}":                     "f:5: fault.workers: there is no worker \"w-05\"",
+		worker + "fault \"silent\" {\n  at = \"soon\"\n}":                            "f:5: fault.at: \"soon\"",
+		worker + "fault \"errors\" {\n  part = 2\n}":                                 "f:5: fault.part: 2",
+		worker + "fault \"neighbour\" {}":                                            "f:4: fault.factor: missing",
+		worker + "fault \"errors\" {}\nfault \"heavy_tail\" {\n  factor = \"-1\"\n}": "f:6: fault.factor: missing, or",
+	} {
+		if _, err := ParseFleet("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s\n%v, want %s", text, err, want)
+		}
+	}
+	raw, err := os.ReadFile("../../deploy/fleet.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if x, err := ParseFleet("fleet.hcl", raw); err != nil || len(x.Workers) != 2 || x.Faults[2].drain != 3*time.Second {
+		t.Fatalf("%+v, %v", x, err)
+	}
+}
+
+// What workers do wrong by name is seen by who asks them, and a deploy by
+// discovery's watchers: leaving, what has not run handed back, active again.
+func TestFleetFaults(t *testing.T) {
+	x, err := ParseFleet("f", []byte(`mean = "1ms"
+worker "err" {}
+worker "half" {}
+worker "lies" {
+  slots = 2
+}
+worker "dep" {
+  slots     = 1
+  zone      = "b"
+  cold_from = 0.5
+  warm_after = "9s"
+}
+fault "errors" {
+  workers = ["err"]
+}
+fault "half_answers" {
+  workers = ["half-00"]
+}
+fault "lying_reports" {
+  workers = ["lies"]
+  free    = 99
+}
+fault "heavy_tail" {
+  workers = ["dep"]
+  factor  = 100000
+}
+fault "deploy" {
+  workers = ["dep"]
+  at      = "300ms"
+  drain   = "100ms"
+}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	f, err := x.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	post := func(worker int, id string) (int, string, error) {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+f.workers[worker].addr+"/job", strings.NewReader("t 0"))
+		req.Header.Set("Request-Id", id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, "", err
+		}
+		defer resp.Body.Close()
+		raw, err := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(raw), err
+	}
+	if status, _, _ := post(0, "a"); status != 500 {
+		t.Errorf("errors: %d", status)
+	}
+	if _, text, err := post(1, "b"); err == nil || strings.Contains(text, "done") {
+		t.Errorf("half: %q, %v", text, err)
+	}
+	if status, text, err := post(2, "c"); status != 200 || err != nil || !strings.Contains(text, `"load":{"x0":99,"waiting":0}`) {
+		t.Errorf("lies: %d %s %v", status, text, err)
+	}
+	ends := make(chan string, 2)
+	for _, id := range []string{"runs", "waits"} { // on one slot, for minutes
+		go func() { _, text, _ := post(3, id); ends <- text }()
+	}
+	first, second := <-ends, <-ends
+	if !strings.Contains(first, `"state":"returned"`) || !strings.Contains(second, `"state":"lost"`) {
+		t.Errorf("first %q, then %q", first, second)
+	}
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(f.List(), `"seq":3`); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(f.List())
+		}
+	}
+	if l := f.List(); !strings.Contains(l, `"site":"b"`) || strings.Count(l, `"born_ms":0}`) != 3 || strings.Contains(l, "leaving") {
+		t.Error(l)
+	}
+}
