Void a load run that found no descriptor left, and test what voids one

Need: descriptors used up, a tool that can't keep up and a run that was ended are hard cases of the laboratory; the first showed as answers that never came.

Change: such questions are counted, and the run says why it is void. Tests cause all three.

Result: a limit of 32 descriptors at 400 questions a second: void, each job without an answer.

--- a/cmd/bellstream-lab/main_test.go
+++ b/cmd/bellstream-lab/main_test.go
@@ -91,3 +91,33 @@
 		}
 	}
 }
+
+// Descriptors used up: the load tool ends, and says that the run is void and why.
+func TestDescriptorsUsedUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	release := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})}
+	go server.Serve(l)
+	defer server.Close()
+	defer close(release)
+	cmd := exec.Command("sh", "-c", `ulimit -n 32; exec "$0" load "$1" --rate 400 --span 0.5 --class a:1:0.5 --json`, os.Args[0], l.Addr().String())
+	cmd.Env = append(os.Environ(), "LAB_MAIN=1")
+	raw, _ := cmd.Output()
+	var r struct {
+		Void     string
+		NoSocket int `json:"no_socket"`
+		Jobs     int
+		Status   map[string]int
+	}
+	if err := json.Unmarshal(raw, &r); err != nil || cmd.ProcessState.ExitCode() != 1 || r.NoSocket == 0 || !strings.Contains(r.Void, "descriptor") || r.Status["none"] != r.Jobs {
+		t.Errorf("exit %d, %v: %s", cmd.ProcessState.ExitCode(), err, raw)
+	}
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"time"
 
 	"example.org/bellstream/internal/emulator"
+	"example.org/bellstream/internal/load"
 )
 
 // A result holds only if every claim does, and none that measured nothing.
@@ -189,3 +191,29 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A load tool that can't keep up says so, and one that was ended before its time.
+func TestLoadIsVoid(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { time.Sleep(20 * time.Millisecond) })}
+	go server.Serve(l)
+	defer server.Close()
+	o := LoadOptions{Targets: []string{l.Addr().String()}, Settings: load.Settings{Rate: 1e6, Shape: load.Even, Span: 1, Most: 3000,
+		Classes: []load.Class{{Part: load.Part{Name: "a", Weight: 1}, Patience: 5}}, Tenants: []load.Part{{Name: "t", Weight: 1}}}}
+	r, err := RunLoad(context.Background(), o)
+	if err != nil || !strings.Contains(r.Void, "late") || r.Jobs != 3000 || r.Status["200"] != 3000 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if r, err = RunLoad(ctx, o); err != nil || !strings.Contains(r.Void, "ended") {
+		t.Errorf("%+v, %v", r, err)
+	}
+	o.Settings.Rate = 0
+	if _, err = RunLoad(ctx, o); err == nil {
+		t.Error("no error")
+	}
+}
--- a/internal/lab/loadtool.go
+++ b/internal/lab/loadtool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -43,6 +44,7 @@
 	Jobs     int                 `json:"jobs"`
 	Asked    int                 `json:"asked"` // with retries
 	Unasked  int                 `json:"unasked"`
+	NoSocket int                 `json:"no_socket"` // asked, and no descriptor was left for it
 	Left     int                 `json:"left"`
 	InTime   int                 `json:"in_time"`
 	Seconds  float64             `json:"seconds"`
@@ -244,6 +246,11 @@
 	}
 	l.mu.Unlock()
 	resp, err := l.client.Do(req)
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		l.mu.Lock()
+		l.report.NoSocket++
+		l.mu.Unlock()
+	}
 	if err != nil {
 		return 0, 0, j.Leaves > 0
 	}
@@ -282,6 +289,8 @@
 		r.Void = "it was ended before its time"
 	case r.Unasked > 0:
 		r.Void = fmt.Sprintf("%d questions were not asked: %d were open", r.Unasked, inFlightMost)
+	case r.NoSocket > 0:
+		r.Void = fmt.Sprintf("%d questions found no descriptor or port left: raise the limit (ulimit -n)", r.NoSocket)
 	case r.ToolLate.P99 > float64(lateMost.Microseconds())/1000:
 		r.Void = fmt.Sprintf("the tool itself was late: %.2f ms at the 99th percentile", r.ToolLate.P99)
 	}
