Let emulated zones know keyed repeats, and reports be late and noisy

Need: a fleet that knows neither shows a dispatcher in too good a light.

Change: the fleet's file has repeat_window, report_delay and report_noise; a zone's memory is shared by its workers.

Result: tests see a repeat dropped in its zone and not run, a report as it was a minute ago, noise within what is stated.

--- a/deploy/fleet.hcl
+++ b/deploy/fleet.hcl
@@ -3,6 +3,7 @@
 seed      = 1
 discovery = "127.0.0.1:9200" # where dispatchers ask for the list
 mean      = "150ms"          # of a job's work, exponential
+repeat_window = "5s"         # how long a zone drops repeats of a keyed job
 # record  = "fleet.jsonl"    # what came to the workers, at the end
 
 worker "large" {
@@ -10,6 +11,8 @@
   slots = 8
   zone  = "a"
   kind  = "m2"
+  report_delay = "300ms"
+  report_noise = 0.1
 }
 
 worker "small" {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"math"
 	"slices"
+	"sync"
 )
 
 // Settings are what a worker is made of.
@@ -66,14 +67,18 @@
 type Report struct{ FreeSlots, FreeMemory, Queue, Util float64 }
 
 // Zone is what the workers of one zone know together: the keys that were run.
+// Workers that are played by several goroutines may share one.
 type Zone struct {
 	Window float64
+	mu     sync.Mutex
 	done   map[string]float64 // until when
 	order  []string
 }
 
 // knows says whether a key was run within the window.
 func (z *Zone) knows(now float64, key string) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
 	for len(z.order) > 0 && z.done[z.order[0]] <= now {
 		delete(z.done, z.order[0])
 		z.order = z.order[1:]
@@ -82,6 +87,8 @@
 }
 
 func (z *Zone) ran(now float64, key string) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
 	if key == "" || z.done[key] > 0 {
 		return
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -64,7 +64,16 @@
 	model  *emulator.Worker
 	waits  map[string]chan emulator.Event // by job that it has taken
 	timer  *time.Timer
-	silent time.Time // until when it takes jobs and says nothing
+	lag    time.Duration // how old its reports are
+	noise  float64       // by which part of its slots they are wrong
+	past   []pastReport  // where there is a lag: oldest first
+	silent time.Time     // until when it takes jobs and says nothing
+}
+
+// pastReport is a report and when it was true.
+type pastReport struct {
+	at float64
+	emulator.Report
 }
 
 // Silence has a worker take jobs and say nothing for some time.
@@ -79,7 +88,7 @@
 func NewFleet(seed uint64, workers, slots int, mean time.Duration) (*Fleet, error) {
 	f := newFleet(seed, mean)
 	for i := range workers {
-		if err := f.add(fmt.Sprintf("w-%02d", i), "w", "z", "k", emulator.Settings{Slots: float64(slots), Queue: 2 * slots}); err != nil {
+		if _, err := f.add(fmt.Sprintf("w-%02d", i), "w", "z", "k", emulator.Settings{Slots: float64(slots), Queue: 2 * slots}, nil); err != nil {
 			f.Close()
 			return nil, err
 		}
@@ -96,17 +105,17 @@
 }
 
 // add starts a worker.
-func (f *Fleet) add(name, group, zone, kind string, s emulator.Settings) error {
+func (f *Fleet) add(name, group, zone, kind string, s emulator.Settings, repeats *emulator.Zone) (*emulated, error) {
 	w := &emulated{f: f, health: "active", seq: 1, name: name, group: group, zone: zone, kind: kind, waits: map[string]chan emulator.Event{},
-		model: emulator.New(s, nil)}
+		model: emulator.New(s, repeats)}
 	w.timer = time.AfterFunc(time.Hour, func() { w.play(func(float64) {}) })
 	l, err := f.serve("127.0.0.1:0", w)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	w.addr = l.Addr().String()
 	f.workers = append(f.workers, w)
-	return nil
+	return w, nil
 }
 
 // open starts discovery.
@@ -273,6 +282,12 @@
 			c <- e // it has room for a start and an end
 		}
 	}
+	if w.lag > 0 {
+		w.past = append(w.past, pastReport{now, w.model.Report(now)})
+		for len(w.past) > 1 && w.past[1].at <= now-w.lag.Seconds() {
+			w.past = w.past[1:]
+		}
+	}
 	if next := w.model.Next(now); !math.IsInf(next, 1) {
 		w.timer.Reset(time.Duration((next-now)*float64(time.Second)) + time.Microsecond)
 	}
@@ -280,8 +295,18 @@
 
 func (w *emulated) load() (text string) {
 	lies := w.fault(faultLies)
+	wrong := 0.0
+	if w.noise > 0 {
+		w.f.mu.Lock()
+		wrong = w.noise * (2*w.f.rng.Float64() - 1)
+		w.f.mu.Unlock()
+	}
 	w.play(func(now float64) {
 		r := w.model.Report(now)
+		if len(w.past) > 0 {
+			r = w.past[0].Report
+		}
+		r.FreeSlots = min(max(math.Round(r.FreeSlots+wrong*w.model.Slots), 0), w.model.Slots)
 		if lies != nil {
 			r.FreeSlots, r.Queue = lies.Free, 0
 		}
@@ -353,11 +378,16 @@
 	verdict := emulator.Full
 	w.play(func(now float64) {
 		if w.waits[id] == nil { // two attempts of one job at one worker: the second waits its turn elsewhere
-			if verdict = w.model.Take(now, emulator.Job{ID: id, Slots: float64(slots), Work: work.Seconds()}); verdict == emulator.Taken {
+			if verdict = w.model.Take(now, emulator.Job{ID: id, Key: r.Header.Get("Idempotency-Key"), Slots: float64(slots), Work: work.Seconds()}); verdict == emulator.Taken {
 				w.waits[id] = news
 			}
 		}
 	})
+	if verdict == emulator.Repeat { // the zone has done it: the answer comes without a run
+		given = fmt.Sprintf("%s known by %s, try %d", id, w.name, try)
+		fmt.Fprintf(out, `{"id":%q,"from":%q,"state":"done","result":%q,"load":%s}`+"\n", id, w.name, given, w.load())
+		return
+	}
 	if verdict != emulator.Taken {
 		unstarted = true
 		out.Header().Set("Not-Started", "1")
--- a/internal/lab/fleetfile.go
+++ b/internal/lab/fleetfile.go
@@ -16,11 +16,13 @@
 // FleetFile is a fleet as an operator describes it.
 type FleetFile struct {
 	Seed      uint64         `hcl:"seed,optional"`
-	Discovery string         `hcl:"discovery,optional"` // where it listens; default: a free port of the loopback
-	Mean      string         `hcl:"mean,optional"`      // of a job's work, exponential; default 150ms
-	Record    string         `hcl:"record,optional"`    // JSON lines, one for each attempt; default: none
+	Discovery string         `hcl:"discovery,optional"`     // where it listens; default: a free port of the loopback
+	Mean      string         `hcl:"mean,optional"`          // of a job's work, exponential; default 150ms
+	Record    string         `hcl:"record,optional"`        // JSON lines, one for each attempt; default: none
+	Repeats   string         `hcl:"repeat_window,optional"` // how long a zone drops repeats of a keyed job; default: it knows none
 	Workers   []*WorkerGroup `hcl:"worker,block"`
 	Faults    []*FleetFault  `hcl:"fault,block"`
+	window    time.Duration
 }
 
 // WorkerGroup is some workers that are alike: NAME-00, NAME-01 ...
@@ -34,6 +36,9 @@
 	Speed     float64 `hcl:"speed,optional"`
 	ColdFrom  float64 `hcl:"cold_from,optional"`
 	WarmAfter string  `hcl:"warm_after,optional"`
+	Lag       string  `hcl:"report_delay,optional"` // how old its reports are
+	Noise     float64 `hcl:"report_noise,optional"` // by which part of its slots they are wrong, evenly drawn
+	lag       time.Duration
 	warm      time.Duration
 }
 
@@ -103,6 +108,7 @@
 	if d := span("", 0, "mean", f.Mean, 150*time.Millisecond); d <= 0 && f.Mean != "" {
 		bad("", 0, "mean", "%q is not above 0", f.Mean)
 	}
+	f.window = span("", 0, "repeat_window", f.Repeats, 0)
 	names, count := map[string]bool{}, 0
 	for i, w := range f.Workers {
 		if w.Count == 0 {
@@ -112,6 +118,7 @@
 			w.Slots = 4
 		}
 		w.warm = span("worker", i, "warm_after", w.WarmAfter, 0)
+		w.lag = span("worker", i, "report_delay", w.Lag, 0)
 		switch {
 		case w.Count < 0 || w.Count > 1000:
 			bad("worker", i, "count", "%d is not from 1 to 1000", w.Count)
@@ -123,6 +130,10 @@
 			bad("worker", i, "speed", "%v is below 0", w.Speed)
 		case w.ColdFrom < 0 || w.ColdFrom > 1:
 			bad("worker", i, "cold_from", "%v is not from 0 to 1", w.ColdFrom)
+		case w.lag > time.Minute:
+			bad("worker", i, "report_delay", "%v is above 1m: all reports since are kept", w.lag)
+		case w.Noise < 0 || w.Noise > 1:
+			bad("worker", i, "report_noise", "%v is not from 0 to 1", w.Noise)
 		case names[w.Name]:
 			bad("worker", i, "name", "%q is there twice", w.Name)
 		}
@@ -169,16 +180,22 @@
 	}
 	f := newFleet(x.Seed, mean)
 	f.faults = x.Faults
+	zones := map[string]*emulator.Zone{}
 	for _, g := range x.Workers {
 		s := emulator.Settings{Slots: float64(g.Slots), Queue: 2 * g.Slots, Speed: g.Speed, ColdFrom: g.ColdFrom, WarmAfter: g.warm.Seconds()}
 		if g.Queue != nil {
 			s.Queue = *g.Queue
 		}
 		for k := range g.Count {
-			if err := f.add(fmt.Sprintf("%s-%02d", g.Name, k), g.Name, g.Zone, g.Kind, s); err != nil {
+			if x.window > 0 && zones[g.Zone] == nil {
+				zones[g.Zone] = &emulator.Zone{Window: x.window.Seconds()}
+			}
+			w, err := f.add(fmt.Sprintf("%s-%02d", g.Name, k), g.Name, g.Zone, g.Kind, s, zones[g.Zone])
+			if err != nil {
 				f.Close()
 				return nil, err
 			}
+			w.lag, w.noise = g.lag, g.Noise
 		}
 	}
 	if err := f.open(x.Discovery); err != nil {
--- a/internal/lab/fleetfile_test.go
+++ b/internal/lab/fleetfile_test.go
@@ -2,31 +2,36 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"strings"
 	"testing"
 	"time"
+
+	"example.org/bellstream/internal/emulator"
 )
 
 func TestFleetMistakes(t *testing.T) {
 	const worker = "worker \"w\" {\n  count = 2\n}\n"
 	for text, want := range map[string]string{
-		"":                                   "f:1: worker: there is none",
-		"seed = \"x\"":                       "f:1: ",
-		worker + worker:                      "f:4: worker.name: \"w\" is there twice",
-		"mean = \"0s\"\n" + worker:           "f:1: mean: \"0s\" is not above 0",
-		"mean = \"x\"\n" + worker:            "f:1: mean: \"x\" is no duration",
-		"discovery = \"x\"\n" + worker:       "f:1: discovery: ",
-		"worker \"w\" {\n  count = 2000\n}":  "f:2: worker.count: 2000",
-		"worker \"w\" {\n  slots = -1\n}":    "f:2: worker.slots: -1",
-		"worker \"w\" {\n  cold_from = 2\n}": "f:2: worker.cold_from: 2",
-		worker + "fault \"rain\" {}":         "f:4: fault.kind: \"rain\" is none of",
-		worker + "fault \"silent\" {\n  workers = [\"w-05\"]\n}":                     "f:5: fault.workers: there is no worker \"w-05\"",
-		worker + "fault \"silent\" {\n  at = \"soon\"\n}":                            "f:5: fault.at: \"soon\"",
-		worker + "fault \"errors\" {\n  part = 2\n}":                                 "f:5: fault.part: 2",
-		worker + "fault \"neighbour\" {}":                                            "f:4: fault.factor: missing",
+		"":                                                       "f:1: worker: there is none",
+		"seed = \"x\"":                                           "f:1: ",
+		worker + worker:                                          "f:4: worker.name: \"w\" is there twice",
+		"mean = \"0s\"\n" + worker:                               "f:1: mean: \"0s\" is not above 0",
+		"mean = \"x\"\n" + worker:                                "f:1: mean: \"x\" is no duration",
+		"discovery = \"x\"\n" + worker:                           "f:1: discovery: ",
+		"worker \"w\" {\n  count = 2000\n}":                      "f:2: worker.count: 2000",
+		"worker \"w\" {\n  slots = -1\n}":                        "f:2: worker.slots: -1",
+		"worker \"w\" {\n  cold_from = 2\n}":                     "f:2: worker.cold_from: 2",
+		"worker \"w\" {\n  report_delay = \"1h\"\n}":             "f:2: worker.report_delay: 1h0m0s",
+		"worker \"w\" {\n  report_noise = 3\n}":                  "f:2: worker.report_noise: 3",
+		worker + "fault \"rain\" {}":                             "f:4: fault.kind: \"rain\" is none of",
+		worker + "fault \"silent\" {\n  workers = [\"w-05\"]\n}": "f:5: fault.workers: there is no worker \"w-05\"",
+		worker + "fault \"silent\" {\n  at = \"soon\"\n}":        "f:5: fault.at: \"soon\"",
+		worker + "fault \"errors\" {\n  part = 2\n}":             "f:5: fault.part: 2",
+		worker + "fault \"neighbour\" {}":                        "f:4: fault.factor: missing",
 		worker + "fault \"errors\" {}\nfault \"heavy_tail\" {\n  factor = \"-1\"\n}": "f:6: fault.factor: missing, or",
 	} {
 		if _, err := ParseFleet("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
@@ -46,6 +51,7 @@
 // discovery's watchers: leaving, what has not run handed back, active again.
 func TestFleetFaults(t *testing.T) {
 	x, err := ParseFleet("f", []byte(`mean = "1ms"
+repeat_window = "60s"
 worker "err" {}
 worker "half" {}
 worker "lies" {
@@ -97,6 +103,21 @@
 		raw, err := io.ReadAll(resp.Body)
 		return resp.StatusCode, string(raw), err
 	}
+	known := func(key string) string {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+f.workers[2].addr+"/job", strings.NewReader("t 0"))
+		req.Header.Set("Request-Id", key+time.Now().String())
+		req.Header.Set("Idempotency-Key", key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		raw, _ := io.ReadAll(resp.Body)
+		return string(raw)
+	}
+	if a, b, c := known("k"), known("k"), known("other"); strings.Contains(a, " known by ") || !strings.Contains(b, " known by lies-00") || strings.Contains(c, " known by ") {
+		t.Errorf("a zone drops repeats: %s, %s, %s", a, b, c)
+	}
 	if status, _, _ := post(0, "a"); status != 500 {
 		t.Errorf("errors: %d", status)
 	}
@@ -123,3 +144,31 @@
 		t.Error(l)
 	}
 }
+
+// Reports that are late say what was, noisy ones are wrong by no more than stated.
+func TestFleetReports(t *testing.T) {
+	x, err := ParseFleet("f", []byte("worker \"late\" {\n  report_delay = \"1m\"\n}\nworker \"noisy\" {\n  slots = 100\n  report_noise = 0.1\n}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := x.Start(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	w := f.workers[0]
+	w.play(func(float64) {}) // this is what it says for a minute
+	w.play(func(now float64) { w.model.Take(now, emulator.Job{ID: "x", Slots: 4, Work: 100}) })
+	if got := w.load(); got != `{"x0":4,"waiting":0}` {
+		t.Errorf("late: %s", got)
+	}
+	least, most := 1000.0, 0.0
+	for range 200 {
+		var free, waiting float64
+		fmt.Sscanf(f.workers[1].load(), `{"x0":%f,"waiting":%f}`, &free, &waiting)
+		least, most = min(least, free), max(most, free)
+	}
+	if least < 90 || least > 95 || most > 100 {
+		t.Errorf("noisy: from %v to %v of 100", least, most)
+	}
+}
