Order emulated workers' queues by class, with suspension

Need: zone workers run dearer classes first and take slots from cheaper ones; the model did that and a fleet's file could not ask for it.

Change: priorities (by class) and suspends in the fleet's file.

--- a/deploy/fleet.hcl
+++ b/deploy/fleet.hcl
@@ -4,6 +4,7 @@
 discovery = "127.0.0.1:9200" # where dispatchers ask for the list
 mean      = "150ms"          # of a job's work, exponential
 repeat_window = "5s"         # how long a zone drops repeats of a keyed job
+priorities    = { read = 1 } # of classes in the workers' queues; default 0
 # record  = "fleet.jsonl"    # what came to the workers, at the end
 
 worker "large" {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -48,6 +48,8 @@
 	disc    net.Listener
 	servers []*http.Server
 	faults  []*FleetFault
+
+	priorities map[string]int // by class
 }
 
 type emulated struct {
@@ -335,6 +337,7 @@
 	}
 	slots = max(1, min(slots, int(w.model.Slots)))
 	id := r.Header.Get("Request-Id")
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	w.f.mu.Lock()
 	work := time.Duration(w.f.rng.ExpFloat64() * float64(w.f.Mean))
 	w.f.mu.Unlock()
@@ -378,7 +381,7 @@
 	verdict := emulator.Full
 	w.play(func(now float64) {
 		if w.waits[id] == nil { // two attempts of one job at one worker: the second waits its turn elsewhere
-			if verdict = w.model.Take(now, emulator.Job{ID: id, Key: r.Header.Get("Idempotency-Key"), Slots: float64(slots), Work: work.Seconds()}); verdict == emulator.Taken {
+			if verdict = w.model.Take(now, emulator.Job{ID: id, Key: r.Header.Get("Idempotency-Key"), Priority: w.f.priorities[class], Slots: float64(slots), Work: work.Seconds()}); verdict == emulator.Taken {
 				w.waits[id] = news
 			}
 		}
--- a/internal/lab/fleetfile.go
+++ b/internal/lab/fleetfile.go
@@ -15,14 +15,15 @@
 
 // FleetFile is a fleet as an operator describes it.
 type FleetFile struct {
-	Seed      uint64         `hcl:"seed,optional"`
-	Discovery string         `hcl:"discovery,optional"`     // where it listens; default: a free port of the loopback
-	Mean      string         `hcl:"mean,optional"`          // of a job's work, exponential; default 150ms
-	Record    string         `hcl:"record,optional"`        // JSON lines, one for each attempt; default: none
-	Repeats   string         `hcl:"repeat_window,optional"` // how long a zone drops repeats of a keyed job; default: it knows none
-	Workers   []*WorkerGroup `hcl:"worker,block"`
-	Faults    []*FleetFault  `hcl:"fault,block"`
-	window    time.Duration
+	Seed       uint64         `hcl:"seed,optional"`
+	Discovery  string         `hcl:"discovery,optional"`     // where it listens; default: a free port of the loopback
+	Mean       string         `hcl:"mean,optional"`          // of a job's work, exponential; default 150ms
+	Record     string         `hcl:"record,optional"`        // JSON lines, one for each attempt; default: none
+	Repeats    string         `hcl:"repeat_window,optional"` // how long a zone drops repeats of a keyed job; default: it knows none
+	Priorities map[string]int `hcl:"priorities,optional"`    // of classes in the workers' queues; the higher goes first; default 0
+	Workers    []*WorkerGroup `hcl:"worker,block"`
+	Faults     []*FleetFault  `hcl:"fault,block"`
+	window     time.Duration
 }
 
 // WorkerGroup is some workers that are alike: NAME-00, NAME-01 ...
@@ -36,6 +37,7 @@
 	Speed     float64 `hcl:"speed,optional"`
 	ColdFrom  float64 `hcl:"cold_from,optional"`
 	WarmAfter string  `hcl:"warm_after,optional"`
+	Suspends  bool    `hcl:"suspends,optional"`     // a job of a higher priority takes the slots of one of a lower
 	Lag       string  `hcl:"report_delay,optional"` // how old its reports are
 	Noise     float64 `hcl:"report_noise,optional"` // by which part of its slots they are wrong, evenly drawn
 	lag       time.Duration
@@ -179,10 +181,10 @@
 		mean, _ = time.ParseDuration(x.Mean) // was checked
 	}
 	f := newFleet(x.Seed, mean)
-	f.faults = x.Faults
+	f.faults, f.priorities = x.Faults, x.Priorities
 	zones := map[string]*emulator.Zone{}
 	for _, g := range x.Workers {
-		s := emulator.Settings{Slots: float64(g.Slots), Queue: 2 * g.Slots, Speed: g.Speed, ColdFrom: g.ColdFrom, WarmAfter: g.warm.Seconds()}
+		s := emulator.Settings{Slots: float64(g.Slots), Queue: 2 * g.Slots, Speed: g.Speed, ColdFrom: g.ColdFrom, WarmAfter: g.warm.Seconds(), Suspends: g.Suspends}
 		if g.Queue != nil {
 			s.Queue = *g.Queue
 		}
--- a/internal/lab/fleetfile_test.go
+++ b/internal/lab/fleetfile_test.go
@@ -172,3 +172,29 @@
 		t.Errorf("noisy: from %v to %v of 100", least, most)
 	}
 }
+
+// A job of a dearer class takes the slot of a cheaper one, which ends after it.
+func TestFleetSuspends(t *testing.T) {
+	x, err := ParseFleet("f", []byte("mean = \"300ms\"\npriorities = { dear = 1 }\nworker \"w\" {\n  slots = 1\n  suspends = true\n}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := x.Start(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	w := f.workers[0]
+	w.play(func(now float64) { w.model.Take(now, emulator.Job{ID: "cheap", Work: 1000}) }) // runs for long
+	resp, err := http.Post("http://"+w.addr+"/dear/x", "", strings.NewReader("t 0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if raw, err := io.ReadAll(resp.Body); err != nil || !strings.Contains(string(raw), `"state":"done"`) {
+		t.Errorf("%s, %v", raw, err)
+	}
+	if got := w.load(); got != `{"x0":0,"waiting":0}` {
+		t.Errorf("the cheap one has not gone on: %s", got)
+	}
+}
