--- a/cmd/bellstream-lab/compare.go
+++ b/cmd/bellstream-lab/compare.go
@@ -22,6 +22,8 @@
 	Seed  uint64 `help:"The first of them; 0 draws one."`
 	Quick bool   `help:"Smaller, within 50 s each."`
 	JSON  bool   `name:"json" help:"Print the comparison as JSON."`
+
+	out string // folder for files
 }
 
 // way reads PROGRAM[,without=WHAT].
@@ -76,7 +78,7 @@
 		}
 		for _, i := range order {
 			p := ways[i]
-			p.Seed, p.Quick = c.Seed+uint64(n), c.Quick
+			p.Seed, p.Quick, p.Out = c.Seed+uint64(n), c.Quick, c.out
 			log("seed %d, way %d of 2", p.Seed, i+1)
 			r, err := e.Play(p)
 			if err != nil {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -64,7 +64,7 @@
 }
 
 // Report is a worker's load.
-type Report struct{ FreeSlots, FreeMemory, Queue, Util float64 }
+type Report struct{ FreeSlots, FreeMemory, Queue float64 }
 
 // Zone is what the workers of one zone know together: the keys that were run.
 // Workers that are played by several goroutines may share one.
@@ -148,8 +148,6 @@
 	byID     map[string]*task
 	used     float64
 	usedMem  float64
-	busy     float64 // slot seconds used up to at
-	at       float64
 	n        int
 }
 
@@ -170,13 +168,6 @@
 	return max(1, math.Floor(part*w.Slots))
 }
 
-func (w *Worker) pass(now float64) {
-	if now > w.at {
-		w.busy += w.used * (now - w.at)
-		w.at = now
-	}
-}
-
 // Take gives the worker a job. Advance has to be called before and after, with
 // the same time: it says what started by it.
 func (w *Worker) Take(now float64, j Job) Verdict {
@@ -220,7 +211,6 @@
 func (w *Worker) Advance(now float64) (events []Event) {
 	for len(w.runs.waits) > 0 && w.runs.waits[0].end <= now {
 		t := w.runs.waits[0]
-		w.pass(t.end)
 		w.forget(t)
 		if w.Zone != nil {
 			w.Zone.ran(t.end, t.Key)
@@ -228,7 +218,6 @@
 		events = append(events, Event{t.end, Done, t.ID})
 		w.begin(t.end, &events)
 	}
-	w.pass(now)
 	w.begin(now, &events)
 	return events
 }
@@ -276,7 +265,6 @@
 	if free < t.size() || !w.hasMemory(t) {
 		return false
 	}
-	w.pass(now)
 	for _, o := range lower[:n] {
 		o.left -= now - o.since
 		w.stop(o)
@@ -312,7 +300,6 @@
 	if t == nil {
 		return
 	}
-	w.pass(now)
 	w.forget(t)
 }
 
@@ -339,7 +326,6 @@
 
 // Restart loses all that it has and starts it cold.
 func (w *Worker) Restart(now float64) (events []Event) {
-	w.pass(now)
 	all := append(slices.Clone(w.queue), w.runs.waits...)
 	slices.SortFunc(all, func(a, b *task) int { return a.came - b.came })
 	for _, t := range all {
@@ -356,12 +342,9 @@
 	for _, t := range w.queue {
 		waiting += t.size()
 	}
-	r := Report{FreeSlots: max(0, w.slots(now)-w.used-waiting), FreeMemory: math.Inf(1), Queue: float64(len(w.queue)), Util: w.used / w.Slots}
+	r := Report{FreeSlots: max(0, w.slots(now)-w.used-waiting), FreeMemory: math.Inf(1), Queue: float64(len(w.queue))}
 	if w.Memory > 0 {
 		r.FreeMemory = max(0, w.Memory-w.usedMem)
 	}
 	return r
 }
-
-// Busy is how many slot seconds it has used so far.
-func (w *Worker) Busy(now float64) float64 { w.pass(now); return w.busy }
