Let staff empty a dispatcher and fill it again: control address, PAUSE, RESUME, STATUS

A command sets what connections read themselves and nudges the loop; it does not stand in the loop's queue.

--- /dev/null
+++ b/cmd/bellstream/control_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+
+	"example.org/bellstream/internal/wiretest"
+)
+
+// say calls the control address and returns the answer.
+func say(t *testing.T, addr, line string) string {
+	t.Helper()
+	c := dial(t, addr)
+	defer c.Close()
+	io.WriteString(c, line+"\n")
+	a, err := c.R.ReadString('\n')
+	if err != nil {
+		t.Fatalf("%s: no answer: %v", line, err)
+	}
+	return a
+}
+
+// asked has a client ask for the health on its connection.
+func asked(t *testing.T, c *wiretest.Client) int {
+	t.Helper()
+	io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	status, _ := c.Status(t)
+	return status
+}
+
+// A real process is emptied and filled again from its control address: it says
+// no, ends the idle connection, finishes its job, and serves on after it.
+func TestPauseAndResume(t *testing.T) {
+	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
+	cmd, log := program(t, strings.Replace(fmt.Sprintf(config, discovery.Addr, target.Addr), `"listen"`, `"control":"127.0.0.1:0","listen"`, 1))
+	control := logged(t, log, "control listens on ")
+	addr := logged(t, log, "dispatcher n listens on ")
+	logged(t, log, "serving")
+	if a := say(t, control, "STATUS"); a != "ok\n" {
+		t.Errorf("STATUS: %q", a)
+	}
+	idle, busy := dial(t, addr), dial(t, addr)
+	if s := asked(t, idle); s != 200 {
+		t.Errorf("health %d", s)
+	}
+	io.WriteString(busy, job)
+	call := wiretest.Get(t, target.Calls, "the job")
+	if a := say(t, control, "PAUSE"); a != "ok\n" {
+		t.Errorf("PAUSE: %q", a)
+	}
+	if s := asked(t, dial(t, addr)); s != 503 {
+		t.Errorf("health %d right after PAUSE", s)
+	}
+	idle.Ended(t)
+	if a := say(t, control, "STATUS"); a != "fail paused\n" {
+		t.Errorf("STATUS while paused: %q", a)
+	}
+	call.Reply(wiretest.Lines(true, `{"id":"r","state":"done","result":"one"}`))
+	if got, body := busy.Status(t); got != 200 || body != "one" {
+		t.Errorf("got %d %q", got, body)
+	}
+	busy.Ended(t)
+	if a := say(t, control, "RESUME"); a != "ok\n" {
+		t.Errorf("RESUME: %q", a)
+	}
+	wiretest.Until(t, "the end of the pause", func() bool { return say(t, control, "STATUS") == "ok\n" })
+	if s := asked(t, dial(t, addr)); s != 200 {
+		t.Errorf("health %d after RESUME", s)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	io.Copy(io.Discard, log)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/cmd/bellstream/main_test.go
+++ b/cmd/bellstream/main_test.go
@@ -57,7 +57,9 @@
 		t.Fatal(err)
 	}
 	defer taken.Close()
-	for _, config := range []string{"{", `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{}}`,
+	for _, config := range []string{"{", `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","control":"here","settings":{"lanes":[{"name":"c","semantics":"safe"}]}}`,
+		fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","control":%q,"settings":{"lanes":[{"name":"c","semantics":"safe"}]}}`, taken.Addr()),
+		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{}}`,
 		fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","settings":{"lanes":[{"name":"c","semantics":"safe"}]}}`, taken.Addr())} {
 		cmd, log := program(t, config)
 		out, _ := io.ReadAll(log)
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,100 @@
+// Package control is the language of the control address: one line a
+// connection, one line back. It does no I/O and reads no clock.
+//
+// A line is a verb and, where the verb takes one, the id of a zone worker,
+// parted by blanks (space or tab). Blanks around them and a carriage return at
+// the end are skipped. Verbs may be written small; ids are compared byte by byte.
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+)
+
+// MaxLine is the longest line, in bytes, without its end.
+const MaxLine = 512
+
+// Verb is what a caller wants.
+type Verb string
+
+// The verbs.
+const (
+	Status Verb = "STATUS" // can this process serve
+	Pause  Verb = "PAUSE"  // empty the dispatcher
+	Resume Verb = "RESUME" // the end of that
+)
+
+// takes says whether a verb takes an id.
+var takes = map[Verb]bool{Status: false, Pause: false, Resume: false}
+
+// Call is one line, understood.
+type Call struct {
+	Verb Verb
+	ID   string // of a worker, where the verb takes one
+}
+
+// Parse reads a line without its end. The error is fit for the caller.
+func Parse(line []byte) (Call, error) {
+	if len(line) > MaxLine {
+		return Call{}, fmt.Errorf("the line is over %d bytes long", MaxLine)
+	}
+	if i := bytes.IndexFunc(line, func(r rune) bool { return r != '\t' && r != '\r' && r < ' ' || r == 0x7f }); i >= 0 {
+		return Call{}, fmt.Errorf("byte %d of the line is a control character", i+1)
+	}
+	words := strings.FieldsFunc(string(line), func(r rune) bool { return r == ' ' || r == '\t' || r == '\r' })
+	if len(words) == 0 {
+		return Call{}, fmt.Errorf("no command")
+	}
+	c := Call{Verb: Verb(strings.ToUpper(words[0]))}
+	id, ok := takes[c.Verb]
+	switch {
+	case !ok:
+		return Call{}, fmt.Errorf("unknown command %q", clip(words[0]))
+	case id && len(words) < 2:
+		return Call{}, fmt.Errorf("%s wants the id of a worker", c.Verb)
+	case id && len(words) > 2, !id && len(words) > 1:
+		return Call{}, fmt.Errorf("%s has too many arguments", c.Verb)
+	case id:
+		c.ID = words[1]
+	}
+	return c, nil
+}
+
+// Answer words what is told to the caller, with the line's end.
+func Answer(err error) []byte {
+	if err == nil {
+		return []byte("ok\n")
+	}
+	// A reason may quote what the caller sent; an answer stays one line.
+	why := strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, err.Error())
+	return []byte("fail " + why + "\n")
+}
+
+// Desk carries commands out. Its calls return at once, and nil only when what
+// was asked for binds from now on. They may come from any goroutine.
+type Desk interface {
+	Status() error
+	Pause() error
+	Resume() error
+}
+
+// Do has a desk carry a call out.
+func (c Call) Do(d Desk) error {
+	switch c.Verb {
+	case Status:
+		return d.Status()
+	case Pause:
+		return d.Pause()
+	case Resume:
+		return d.Resume()
+	}
+	return fmt.Errorf("unknown command %q", clip(string(c.Verb)))
+}
+
+func clip(s string) string { return s[:min(len(s), 32)] }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -89,8 +89,9 @@
 	round   float64
 	ingress Ingress
 
-	posts chan any
-	done  chan struct{}
+	posts  chan any
+	nudges chan struct{} // operators have commanded something
+	done   chan struct{}
 
 	// The loop's own.
 	wheel   *wheel.Wheel[any]
@@ -101,8 +102,11 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	ended   float64 // when the stop came
-	most    float64 // how long it may take
+	ended   float64           // when the stop came
+	retired float64           // until when clients keep their connections after it
+	paused  float64           // since when operators have it empty; 0: they don't
+	looker  *wheel.Timer[any] // the next look at idle connections
+	most    float64           // how long it may take
 	steps   uint64
 	tenants map[string]bool // those of the settings
 	seldom  *logging.Limited
@@ -162,7 +166,7 @@
 	deadline struct{ h *held }
 	sweeping struct{}
 	again    struct{} // ask discovery once more
-	looking  struct{} // at what is left while draining
+	looking  struct{} // at what is left while it is emptied
 )
 
 // New makes a dispatcher. Nothing runs before Run.
@@ -179,7 +183,7 @@
 		return nil, err
 	}
 	d := &Dispatcher{Options: o, bal: b, base: o.Now(), round: o.Settings.Round,
-		posts: make(chan any, queue), done: make(chan struct{}),
+		posts: make(chan any, queue), nudges: make(chan struct{}, 1), done: make(chan struct{}),
 		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {},
 		tenants: map[string]bool{}, seldom: logging.NewLimited(time.Minute, o.Now)}
 	for _, t := range cfg.Tenants {
@@ -266,6 +270,8 @@
 		}
 		timer.Reset(time.Duration((d.next() - d.clock()) * float64(time.Second)))
 		select {
+		case <-d.nudges:
+			d.operate()
 		case p := <-d.posts:
 			d.take(p)
 		case <-timer.C:
@@ -282,6 +288,8 @@
 func (d *Dispatcher) drain() {
 	for {
 		select {
+		case <-d.nudges:
+			d.operate()
 		case p := <-d.posts:
 			d.take(p)
 		default:
@@ -328,12 +336,7 @@
 		case again:
 			d.subscribe()
 		case looking:
-			if d.Phases.Enter(Draining) {
-				d.Log("draining: %d requests held", len(d.held))
-			}
-			// A connection that has not brought a request yet gets some time to do so.
-			d.ingress.CloseIdle(250 * time.Millisecond)
-			d.wheel.Set(now+drainLook, looking{})
+			d.look(now)
 		}
 	}
 	if now >= d.last+d.round { // what is let go in one turn has to be decided before more is
@@ -403,7 +406,10 @@
 			d.ended = d.clock()
 			// Clients whose connections end now may have nowhere to go: in a rolling
 			// restart the others may not be back yet. So that comes some time later.
-			d.wheel.Set(d.ended+retire*d.most, looking{})
+			if d.retired = d.ended; d.paused == 0 {
+				d.retired += retire * d.most
+			}
+			d.lookAt(d.retired)
 			d.Log("retiring: %d requests held", len(d.held))
 		}
 	}
@@ -412,7 +418,7 @@
 // arrive takes a request in. One whose id is held already, or was of late, is
 // turned away, so that the first is not disturbed and does not run again.
 func (d *Dispatcher) arrive(r *ingress.Request) {
-	if d.Phases.Now() >= Closing {
+	if d.refuses() {
 		r.Answer(ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter})
 		return
 	}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -39,6 +39,7 @@
 	hold    time.Duration // of the next jobs
 	ran     float64       // hops that were started and not proved unrun
 	counted counterModel
+	closed  int // looks at idle connections
 }
 
 // counterModel adds up what the loop counts.
@@ -120,7 +121,7 @@
 func (r *rig) Sweep()                  {}
 func (r *rig) Taken() int              { return 0 }
 func (r *rig) Open() int               { return 0 }
-func (r *rig) CloseIdle(time.Duration) {}
+func (r *rig) CloseIdle(time.Duration) { r.closed++ }
 
 func newRig(t *testing.T) *rig {
 	s, err := settings.Parse([]byte(options))
@@ -146,6 +147,11 @@
 // pass lets time go by in rounds, as the loop would.
 func (r *rig) pass(d time.Duration) {
 	for end := r.now.Add(d); ; r.now = r.now.Add(4 * time.Millisecond) {
+		select {
+		case <-r.nudges:
+			r.operate()
+		default:
+		}
 		r.drain()
 		r.turn(r.clock())
 		r.finished(r.clock())
--- /dev/null
+++ b/internal/dispatcher/operate_test.go
@@ -0,0 +1,142 @@
+package dispatcher
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/wiretest"
+)
+
+// may is the written table of transitions, apart from the code's.
+const may = `starting: serving paused retiring stopped
+serving: paused retiring stopped
+paused: starting retiring stopped
+retiring: draining closing stopped
+draining: closing stopped
+closing: stopped`
+
+// Random steps of all that moves the phase stay on the ways of the table, and
+// an end is final.
+func FuzzPhases(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 1, 2, 3})
+	f.Add([]byte{1, 2, 0, 3, 1, 2, 4, 5, 6, 1, 2})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ways := map[string]map[string]bool{}
+		for _, line := range strings.Split(may, "\n") {
+			from, to, _ := strings.Cut(line, ": ")
+			ways[from] = map[string]bool{}
+			for _, w := range strings.Fields(to) {
+				ways[from][w] = true
+			}
+		}
+		p := &Phases{}
+		wiretest.Steps(data, 100, func(b byte) {
+			old, next := p.Now(), Phase(int(b)%7)
+			if got, want := p.Enter(next), ways[old.String()][next.String()]; got != want {
+				t.Fatalf("from %v to %v: %v, want %v", old, next, got, want)
+			} else if got && p.Now() != next || !got && p.Now() != old {
+				t.Fatalf("from %v to %v: now %v", old, next, p.Now())
+			}
+			if p.Ready() != (p.Now() == Serving) || p.Ending() != (p.Now() == Paused || p.Now() >= Draining) {
+				t.Fatalf("%v: ready %v, ending %v", p.Now(), p.Ready(), p.Ending())
+			}
+		})
+	})
+}
+
+// runs has a job come and go out to a target.
+func (r *rig) runs(id, class string) *jobModel {
+	r.t.Helper()
+	j := r.arrive(id, class, time.Hour)
+	r.pass(20 * time.Millisecond)
+	for _, tell := range r.probes {
+		tell(egress.News{Outcome: balance.Served, Report: []float64{3}})
+	}
+	r.probes = nil
+	r.pass(8 * time.Millisecond)
+	if j.out == nil {
+		r.t.Fatalf("%s: not sent", id)
+	}
+	return j
+}
+
+// A pause says no at once and without the loop, closes idle connections when
+// the front has had its time, refuses what could not be old enough at its end,
+// lets jobs finish, and is over at once, also when it is half done.
+func TestPause(t *testing.T) {
+	r := newRig(t)
+	a := r.runs("a", "unsafe")
+	if r.Status() != nil || r.Pause() != nil || r.Pause() != nil {
+		t.Fatal("a serving dispatcher was not paused")
+	}
+	if r.Phases.Ready() || !r.Phases.Ending() || r.Status() == nil {
+		t.Error("a pause waits for the loop")
+	}
+	r.pass(300 * time.Millisecond)
+	if r.closed > 0 {
+		t.Error("idle connections were closed while the front still brings new ones")
+	}
+	r.pass(200 * time.Millisecond)
+	if r.closed == 0 {
+		t.Error("idle connections stay open")
+	}
+	b := r.runs("b", "safe")
+	r.pass(1350 * time.Millisecond)
+	c := r.arrive("c", "unsafe", time.Hour)
+	if len(a.answers)+len(b.answers) > 0 || len(c.answers) != 1 || c.answers[0] != 503 {
+		t.Errorf("answers %v, %v to those taken, %v to one that came too late", a.answers, b.answers, c.answers)
+	}
+	if r.Resume() != nil || r.Resume() != nil {
+		t.Error("not resumed")
+	}
+	r.pass(4 * time.Millisecond)
+	if r.Status() != nil || r.Phases.Ending() {
+		t.Errorf("phase %v after the end of a pause", r.Phases.Now())
+	}
+	closed := r.closed
+	d := r.arrive("d", "safe", time.Hour)
+	r.pass(100 * time.Millisecond)
+	if r.closed != closed || len(d.answers) > 0 {
+		t.Errorf("%d looks at idle connections and answers %v after a pause", r.closed-closed, d.answers)
+	}
+	// Paused anew, its time begins anew.
+	r.Pause()
+	r.pass(300 * time.Millisecond)
+	if e := r.arrive("e", "safe", time.Hour); r.closed != closed || len(e.answers) > 0 {
+		t.Error("a second pause goes on where the first was left")
+	}
+}
+
+// What happens beside a pause: a call back before the loop has heard of the
+// call out, a pause before there is anything to serve with, and a stop, which
+// closes idle connections at once and which nothing undoes.
+func TestPauseBesideOthers(t *testing.T) {
+	r := newRig(t)
+	r.Pause()
+	r.Resume()
+	r.pass(time.Second)
+	if !r.Phases.Ready() || r.closed > 0 {
+		t.Errorf("phase %v, %d looks at idle connections", r.Phases.Now(), r.closed)
+	}
+	r.Pause()
+	r.pass(8 * time.Millisecond)
+	r.take(stop{})
+	r.pass(60 * time.Millisecond)
+	if r.Phases.Now() != Draining || r.closed == 0 {
+		t.Errorf("phase %v, %d looks at idle connections after a stop in a pause", r.Phases.Now(), r.closed)
+	}
+	if r.Resume() == nil || r.Pause() == nil || r.Phases.Now() != Draining {
+		t.Errorf("a stop was undone: %v", r.Phases.Now())
+	}
+	p := &Phases{}
+	d := &Dispatcher{Options: Options{Phases: p}, nudges: make(chan struct{}, 1)}
+	if d.Status() == nil || d.Pause() != nil || p.Enter(Serving) {
+		t.Errorf("phase %v: paused before its start, it serves", p.Now())
+	}
+	if d.Resume() != nil || !p.Enter(Serving) {
+		t.Errorf("phase %v: not resumed", p.Now())
+	}
+}
--- a/internal/dispatcher/phase.go
+++ b/internal/dispatcher/phase.go
@@ -5,10 +5,11 @@
 // Phase is where the program stands between its start and its exit.
 type Phase int32
 
-// The phases, in their order. None is entered twice.
+// The phases.
 const (
 	Starting Phase = iota // the route table is empty, /healthz answers 503
 	Serving               // /healthz answers 200
+	Paused                // emptied by operators: /healthz answers 503, answers close their connections
 	Retiring              // told to stop: /healthz answers 503, all else goes on
 	Draining              // takes what still comes, closes connections behind it
 	Closing               // the drain's time is over: what is held gets its final answer now
@@ -16,24 +17,41 @@
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "retiring", "draining", "closing", "stopped"}[p]
+	return [...]string{"starting", "serving", "paused", "retiring", "draining", "closing", "stopped"}[p]
+}
+
+// ways are the phases that each may lead to. What has been told to stop never
+// comes back; what is paused does, by way of its start, which it passes at once
+// if there is something to serve with.
+var ways = [...][]Phase{
+	Starting: {Serving, Paused, Retiring, Stopped},
+	Serving:  {Paused, Retiring, Stopped},
+	Paused:   {Starting, Retiring, Stopped},
+	Retiring: {Draining, Closing, Stopped},
+	Draining: {Closing, Stopped},
+	Closing:  {Stopped},
+	Stopped:  nil,
 }
 
 // Phases is the one object that holds the program's phase. The loop moves it
-// on; connections read it.
+// on, and so do operators' commands; connections read it.
 type Phases struct{ now atomic.Int32 }
 
 // Now is the present phase.
 func (p *Phases) Now() Phase { return Phase(p.now.Load()) }
 
-// Enter moves on to a later phase and says whether it did: there is no way back.
+// Enter moves to a phase and says whether it did: only where there is a way.
 func (p *Phases) Enter(next Phase) bool {
 	for {
-		old := p.now.Load()
-		if int32(next) <= old {
+		old := p.Now()
+		may := false
+		for _, to := range ways[old] {
+			may = may || to == next
+		}
+		if !may {
 			return false
 		}
-		if p.now.CompareAndSwap(old, int32(next)) {
+		if p.now.CompareAndSwap(int32(old), int32(next)) {
 			return true
 		}
 	}
@@ -43,4 +61,7 @@
 func (p *Phases) Ready() bool { return p.Now() == Serving }
 
 // Ending says that clients are to leave with their next answer.
-func (p *Phases) Ending() bool { return p.Now() >= Draining }
+func (p *Phases) Ending() bool {
+	now := p.Now()
+	return now == Paused || now >= Draining
+}
--- a/internal/service/parts.go
+++ b/internal/service/parts.go
@@ -41,7 +41,7 @@
 		}
 		phases := o.Phases
 		show.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bellstream_phase",
-			Help: "0 starting, 1 serving, 2 retiring, 3 draining, 4 closing, 5 stopped."},
+			Help: "0 starting, 1 serving, 2 paused, 3 retiring, 4 draining, 5 closing, 6 stopped."},
 			func() float64 { return float64(phases.Now()) }))
 		p.list = append(p.list, adminPart{show})
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"example.org/bellstream/internal/control/door"
 	"example.org/bellstream/internal/dispatcher"
 	"example.org/bellstream/internal/egress"
 	"example.org/bellstream/internal/ingress"
@@ -55,6 +56,9 @@
 			return err
 		}
 	}
+	if conf.Control == "" {
+		conf.Control = os.Getenv("RELAY_CONTROL")
+	}
 	limit(conf)
 	log, err := logger(op)
 	if err != nil {
@@ -64,7 +68,7 @@
 	for _, w := range operator.Warnings(conf.Settings) {
 		log.Warn().Msg(w)
 	}
-	in, out := places(conf.Sockets)
+	in, out := places(room(conf))
 	s := conf.Settings
 	// A dial that outlasts the drain grace would send to a target that drains.
 	dial := min(seconds(s.Caps.DialTimeout, 0.25), seconds(s.Rules.DrainGrace, 60))
@@ -92,6 +96,14 @@
 	defer l.Close()
 	server := ingress.NewServer(classes, d, o.Phases, in, logf)
 	server.Waits = o.Waiting != nil
+	if conf.Control != "" {
+		cl, err := net.Listen("tcp", conf.Control)
+		if err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		defer door.Open(cl, d, logf).Close()
+		logf("control listens on %s", cl.Addr())
+	}
 	go server.Serve(l)
 	go func() {
 		logf("%s: stopping", <-stops)
@@ -108,8 +120,9 @@
 			for _, what := range changes(conf, next) {
 				logf("reload: %s", what)
 			}
+			next.Control = conf.Control // it is bound for good
 			limit(next)
-			in, out := places(next.Sockets)
+			in, out := places(room(next))
 			server.Resize(in)
 			pool.Resize(out)
 			d.Redirect(next.Discovery)
@@ -144,6 +157,9 @@
 	if old.Cores != next.Cores || old.MemoryMB != next.MemoryMB || old.Sockets != next.Sockets {
 		say("limits are %v cores, %d MB, %d descriptors now", next.Cores, next.MemoryMB, next.Sockets)
 	}
+	if next.Control != "" && old.Control != next.Control {
+		say("control stays %s until the next start", old.Control)
+	}
 	if old.Listen != next.Listen || old.Name != next.Name {
 		say("name and listen address stay %s and %s until the next start", old.Name, old.Listen)
 	}
@@ -175,6 +191,14 @@
 	}
 }
 
+// room is what is left of the descriptors beside those of the control address.
+func room(c *settings.Instance) int {
+	if c.Control != "" && c.Sockets > 0 {
+		return c.Sockets - door.Most - 1
+	}
+	return c.Sockets
+}
+
 // places divides the descriptors between clients and egress targets. Some are
 // kept back for the log, the listener, the watch and the runtime. A job that is
 // out takes one of each kind, one that waits only the client's; a sixteenth more
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -13,6 +13,7 @@
 // Instance is the configuration file of one real dispatcher.
 type Instance struct {
 	Name, Listen, Discovery string
+	Control                 string // where operators' commands come in; empty: nowhere
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -42,7 +43,7 @@
 		return nil, errors.New("not valid JSON")
 	}
 	r := &reader{root: gjson.ParseBytes(raw)}
-	i := &Instance{Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"),
+	i := &Instance{Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"), Control: r.text("control"),
 		Cores: r.num("limits.cores"), MemoryMB: r.int("limits.memory_mb"), Sockets: r.int("limits.sockets"),
 		Known: []byte(r.get("known", gjson.JSON).Raw)}
 	if seed := r.text("seed"); seed != "" {
@@ -61,6 +62,8 @@
 		return nil, errors.New("discovery: missing")
 	case !address(i.Listen), !address(i.Discovery):
 		return nil, errors.New("listen or discovery: not host:port")
+	case i.Control != "" && !address(i.Control):
+		return nil, fmt.Errorf("control: %q is not host:port", i.Control)
 	case i.MemoryMB < 0 || i.Sockets < 0 || i.Cores < 0:
 		return nil, errors.New("limits: a figure is below 0")
 	}
