Take new settings by SIGHUP, judged whole and swapped as one version

Found with it: Next took discovery's address from a file whose settings can't be used, as only its JSON was judged; a watch on that address then failed for 8 s. The change: settings.Next (keys of the file in force, figures, semantics), balance.Retune, classes in ingress swapped as a whole, dial and idle times of the pool.

--- a/balance/api.go
+++ b/balance/api.go
@@ -175,6 +175,11 @@
 	MaxWait float64
 }
 
+// Retune puts other settings into force, as a whole; those that Config.Check refuses change
+// nothing. Jobs that are here keep the class that they came with, the bound on attempts
+// counts for them too, and tenants keep their tags.
+type Retune struct{ Config Config }
+
 // WorkerState is what the roster says of a worker.
 type WorkerState string
 
@@ -220,6 +225,7 @@
 func (RosterUpdate) event()   {}
 func (Share) event()          {}
 func (Ageing) event()         {}
+func (Retune) event()         {}
 
 // Action is something the caller has to carry out.
 type Action interface{ action() }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,13 +69,7 @@
 		classes: map[string]*class{}, byName: map[string]*tenant{}, jobs: map[string]*job{},
 		byID: map[string]*worker{}, kinds: means{}, zones: means{},
 		most: map[string]float64{}}
-	for _, c := range cfg.Classes {
-		b.classes[c.Name] = &class{Class: c}
-		b.kinded, b.harmless = b.kinded || c.Kind != "", b.harmless || c.Repeat == Safe
-	}
-	for _, t := range cfg.Tenants {
-		b.addTenant(t)
-	}
+	b.adopt()
 	return b, nil
 }
 
@@ -119,6 +113,8 @@
 			if c := b.classes[e.Class]; c != nil && e.MaxWait >= 0 {
 				c.MaxWait = e.MaxWait
 			}
+		case Retune:
+			b.retune(e.Config)
 		case Closing:
 			for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
 				if j := b.jobs[id]; !j.closed {
@@ -520,12 +516,14 @@
 }
 
 // rank places a worker in this dispatcher's order; by lot all tell whose turn it is there.
-func (b *Balancer) rank(w *worker) (place, lot float64) {
+func (b *Balancer) rank(w *worker) {
 	h := fnv.New64a()
 	h.Write([]byte(w.ID))
-	lot = float64(h.Sum64() % uint64(b.cfg.Dispatchers))
-	place = rand.New(rand.NewPCG(h.Sum64(), uint64(b.cfg.Index))).ExpFloat64()
-	return place / w.near, lot
+	w.lot = float64(h.Sum64() % uint64(b.cfg.Dispatchers))
+	if w.near = 1; w.Zone == b.cfg.Zone {
+		w.near = nearFactor
+	}
+	w.rank = rand.New(rand.NewPCG(h.Sum64(), uint64(b.cfg.Index))).ExpFloat64() / w.near
 }
 
 // pick chooses a worker for a job at random among those that fit, weighted by
@@ -975,10 +973,7 @@
 	case w == nil:
 		w = &worker{WorkerInfo: i, usual: b.zones.at(i.Zone), kin: b.kinds.at(i.Kind)}
 		w.stranger = b.cfg.OnlyDrainBinds && b.roster.lists > 1 && b.warm(w) == 1
-		if w.near = 1; w.Zone == b.cfg.Zone {
-			w.near = nearFactor
-		}
-		w.rank, w.lot = b.rank(w)
+		b.rank(w)
 		b.byID[i.ID], b.order = w, append(b.order, w)
 	default:
 		if i.Started > w.Started { // a new process: what was known of the old one is void
--- a/balance/config.go
+++ b/balance/config.go
@@ -6,6 +6,9 @@
 	"slices"
 )
 
+// Check says what can't be used in settings; nil where New and Retune take them.
+func (c Config) Check() error { return check(&c) }
+
 // check fills in defaults and finds settings that cannot be used.
 func check(c *Config) error {
 	def := func(v *float64, d float64) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -194,6 +195,56 @@
 	}
 }
 
+// adopt makes the classes and tenants of the settings. What was learnt of them
+// stays, and so do tags. A class is made anew: jobs that are here hold on to the
+// one that they came with. One that is not named any more stays known, as jobs
+// of it may be on their way; a tenant that is not has no reservation.
+func (b *Balancer) adopt() {
+	b.kinded, b.harmless = false, false
+	for _, c := range b.cfg.Classes {
+		n := &class{Class: c}
+		if old := b.classes[c.Name]; old != nil {
+			n.run = old.run
+			if old.Deadline == c.Deadline {
+				n.fullLeft = old.fullLeft
+			}
+		}
+		b.classes[c.Name] = n
+		b.kinded, b.harmless = b.kinded || c.Kind != "", b.harmless || c.Repeat == Safe
+	}
+	for _, t := range b.tenants {
+		t.quota, t.weight = 0, 1
+	}
+	for _, t := range b.cfg.Tenants {
+		if old := b.byName[t.Name]; old != nil {
+			old.quota, old.weight = t.Quota, t.Weight
+		} else {
+			b.addTenant(t)
+		}
+	}
+}
+
+// retune takes other settings into force. Settings that can't be used change nothing.
+func (b *Balancer) retune(next Config) {
+	if check(&next) != nil {
+		return
+	}
+	old := b.cfg
+	b.cfg = next
+	b.adopt()
+	if old.Dispatchers != next.Dispatchers {
+		for _, t := range b.tenants {
+			t.parts = float64(next.Dispatchers)
+		}
+	}
+	if old.Dispatchers != next.Dispatchers || old.Index != next.Index || old.Zone != next.Zone {
+		for _, w := range b.order {
+			b.rank(w)
+		}
+		slices.SortStableFunc(b.order, func(x, y *worker) int { return cmp.Compare(x.rank, y.rank) })
+	}
+}
+
 func (b *Balancer) addTenant(t Tenant) *tenant {
 	n := &tenant{name: t.Name, quota: t.Quota, weight: t.Weight, parts: float64(b.cfg.Dispatchers), global: math.Inf(-1), local: math.Inf(-1),
 		bucket: idleCredit}
--- a/cmd/bellstream/control_test.go
+++ b/cmd/bellstream/control_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"example.org/bellstream/internal/wiretest"
 )
@@ -76,3 +77,50 @@
 		t.Errorf("exit: %v", err)
 	}
 }
+
+// New settings by SIGHUP at a real process: a broken file changes nothing, a
+// good one brings a class and takes one, and the job under way is answered.
+func TestRetune(t *testing.T) {
+	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
+	good := fmt.Sprintf(config, discovery.Addr, target.Addr)
+	cmd, log := program(t, good)
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "RELAY_CONFIG=")
+	addr := logged(t, log, "listens on ")
+	logged(t, log, "serving")
+	client := dial(t, addr)
+	io.WriteString(client, job)
+	call := wiretest.Get(t, target.Calls, "the job")
+	next := strings.Replace(good, `"name":"c"`, `"name":"d"`, 1)
+	for _, broken := range []string{"", next[:len(next)-9], strings.Replace(next, `"hard_limit":60`, `"hard_limit":-1`, 1),
+		strings.Replace(next, `"max_attempts":1`, `"max_attempts":0`, 1), strings.Replace(next, `"zone":"z",`, "", 1)} {
+		write(t, path, broken)
+		cmd.Process.Signal(syscall.SIGHUP)
+		logged(t, log, "the old configuration stays in force")
+	}
+	post := func(class, id string) int {
+		c := dial(t, addr)
+		defer c.Close()
+		io.WriteString(c, strings.NewReplacer("/c", "/"+class, ": r", ": "+id).Replace(job))
+		select {
+		case other := <-target.Calls:
+			other.Reply(wiretest.Lines(true, `{"id":"`+id+`","state":"done","result":"x"}`))
+		case <-time.After(50 * time.Millisecond):
+		}
+		status, _ := c.Status(t)
+		return status
+	}
+	if got := post("d", "early"); got != 404 {
+		t.Errorf("a class of a broken file got %d", got)
+	}
+	write(t, path, next)
+	cmd.Process.Signal(syscall.SIGHUP)
+	if said := logged(t, log, "the settings are new: "); said != "class d appears (unsafe), class c vanishes" {
+		t.Errorf("the log says %q", said)
+	}
+	wiretest.Until(t, "the new class", func() bool { return post("d", fmt.Sprint("d", time.Now().UnixNano())) == 200 })
+	wiretest.Until(t, "the old class's end", func() bool { return post("c", fmt.Sprint("c", time.Now().UnixNano())) == 404 })
+	call.Reply(wiretest.Lines(true, `{"id":"r","state":"done","result":"one"}`))
+	if got, body := client.Status(t); got != 200 || body != "one" {
+		t.Errorf("the job of the class that vanished got %d %q", got, body)
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -160,6 +160,7 @@
 	limits   struct{ of waiting.Limits }
 	ageing   struct{ waits map[string]float64 }
 	reading  struct{ to chan Figures }
+	retuned  struct{ to *settings.Settings }
 	stop     struct{}
 	redirect struct{ discovery string }
 	wake     struct{} // a timer of the module
@@ -174,27 +175,17 @@
 	if o.Settings.Round < 0 || o.Settings.Round > 1 {
 		return nil, fmt.Errorf("round: %v is not a time from 0 to 1 s", o.Settings.Round)
 	}
-	cfg := o.Settings.Config()
-	for i := range cfg.Classes {
-		cfg.Classes[i].MaxWait = o.Ageing[cfg.Classes[i].Name]
-	}
-	b, err := balance.New(cfg, o.Seed)
+	b, err := balance.New(config(o.Settings, o.Ageing), o.Seed)
 	if err != nil {
 		return nil, err
 	}
 	d := &Dispatcher{Options: o, bal: b, base: o.Now(), round: o.Settings.Round,
 		posts: make(chan any, queue), nudges: make(chan struct{}, 1), done: make(chan struct{}),
 		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {},
-		tenants: map[string]bool{}, seldom: logging.NewLimited(time.Minute, o.Now)}
-	for _, t := range cfg.Tenants {
-		d.tenants[t.Name] = true
-	}
+		seldom: logging.NewLimited(time.Minute, o.Now)}
 	d.wheel = wheel.New[any](fineTick(o.Settings.Rules.GraceToAnswer), d.clock())
-	for _, l := range o.Settings.Lanes {
-		d.most = max(d.most, l.HardLimit)
-	}
-	d.recent = newRecent(d.most, d.clock())
-	d.most = min(d.most, drainMost) + drainPast
+	d.recent = newRecent(0, d.clock())
+	d.measure()
 	if len(o.Known) > 0 {
 		u, err := route.Parse(o.Known)
 		if err != nil {
@@ -392,6 +383,8 @@
 		p.to <- d.figures()
 	case ageing:
 		d.age(p.waits)
+	case retuned:
+		d.retune(p.to)
 	case shared:
 		for _, s := range p.news {
 			d.events = append(d.events, s)
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/settings"
 )
 
 // What operators command. Times are in seconds from the call to pause.
@@ -88,3 +91,35 @@
 func (d *Dispatcher) refuses() bool {
 	return d.Phases.Now() >= Closing || d.paused > 0 && d.Phases.Now() == Paused && d.clock() >= d.paused+pauseRefuse
 }
+
+// Retune puts other settings into force, as a whole. They have been judged.
+func (d *Dispatcher) Retune(s *settings.Settings) { d.post(retuned{s}) }
+
+func (d *Dispatcher) retune(s *settings.Settings) {
+	d.Settings, d.round = s, s.Round
+	d.measure()
+	d.events = append(d.events, balance.Retune{Config: config(s, d.Ageing)})
+}
+
+// measure takes from the settings what the loop itself goes by.
+func (d *Dispatcher) measure() {
+	longest := 0.0
+	for _, l := range d.Settings.Lanes {
+		longest = max(longest, l.HardLimit)
+	}
+	d.most = min(longest, drainMost) + drainPast
+	d.recent.span = max(d.recent.span, longest) // ids of longer jobs may be under way
+	d.tenants = map[string]bool{}
+	for _, p := range d.Settings.Parties {
+		d.tenants[p.Name] = true
+	}
+}
+
+// config is the module's part of the settings, with what operators promise.
+func config(s *settings.Settings, ageing map[string]float64) balance.Config {
+	c := s.Config()
+	for i := range c.Classes {
+		c.Classes[i].MaxWait = ageing[c.Classes[i].Name]
+	}
+	return c
+}
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -108,7 +108,7 @@
 func (p *Pool) Start(o *Order, addr string, tell func(News)) Hop {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &hop{cancel: cancel}
-	by := time.Now().Add(p.Dial)
+	by := p.by(time.Now())
 	go func() {
 		defer cancel()
 		c, end, clean := p.attempt(ctx, h, o, addr, by, false, tell)
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -117,6 +117,24 @@
 	p.Max = most
 }
 
+// Retune changes the times of dialling and of keeping idle connections, for
+// what is dialled and put back from now on.
+func (p *Pool) Retune(dial, keep time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.keep == p.Keep { // not shortened by what targets did
+		p.keep = keep
+	}
+	p.Dial, p.Keep, p.keep = dial, keep, min(p.keep, keep)
+}
+
+// by is when a dial that begins at a time counts as failed.
+func (p *Pool) by(start time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return start.Add(p.Dial)
+}
+
 // put gives back a connection on which nothing is out.
 func (p *Pool) put(c *conn) {
 	c.SetDeadline(time.Time{})
--- a/internal/egress/probe.go
+++ b/internal/egress/probe.go
@@ -27,7 +27,7 @@
 }
 
 func (p *Pool) probe(addr string, fields []string, start time.Time, fresh bool) News {
-	c, err := p.get(context.Background(), addr, start.Add(p.Dial), fresh)
+	c, err := p.get(context.Background(), addr, p.by(start), fresh)
 	if err != nil {
 		return unsent(err)
 	}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -47,6 +47,7 @@
 type Class struct {
 	Keyed    bool
 	Deadline time.Duration // for requests that state no time-out
+	until    time.Time     // after which it is known no more; zero: none
 }
 
 // reject is a request that is answered at the door.
@@ -64,38 +65,39 @@
 
 // check tells whether the request line is one for a job. A nil error and no
 // class means a health check.
-func (s *Server) check(r *http.Request) (class string, err error) {
+func (s *Server) check(r *http.Request) (class string, of Class, err error) {
 	if r.URL.Path == "/healthz" {
 		if r.Method != http.MethodGet && r.Method != http.MethodHead {
-			return "", &reject{http.StatusMethodNotAllowed, "only GET and HEAD here", "GET, HEAD"}
+			return "", of, &reject{http.StatusMethodNotAllowed, "only GET and HEAD here", "GET, HEAD"}
 		}
 		if r.ContentLength != 0 {
-			return "", bad("no body here")
+			return "", of, bad("no body here")
 		}
-		return "", nil
+		return "", of, nil
 	}
 	class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if _, ok := s.classes[class]; !ok {
-		return "", &reject{status: http.StatusNotFound, why: "no such path"}
+	of, ok := (*s.classes.Load())[class]
+	if !ok || !of.until.IsZero() && time.Now().After(of.until) {
+		return "", of, &reject{status: http.StatusNotFound, why: "no such path"}
 	}
 	if r.Method != http.MethodPost {
-		return "", &reject{http.StatusMethodNotAllowed, "only POST here", "POST"}
+		return "", of, &reject{http.StatusMethodNotAllowed, "only POST here", "POST"}
 	}
-	return class, nil
+	return class, of, nil
 }
 
 // parse makes a job of a request whose path names the class.
-func (s *Server) parse(r *http.Request, class string) (*Request, error) {
+func (s *Server) parse(r *http.Request, class string, of Class) (*Request, error) {
 	h := r.Header
 	q := &Request{ID: h.Get("Request-Id"), Class: class, Tenant: h.Get("Tenant"), Method: r.Method,
 		URI: r.RequestURI, IdempotencyKey: h.Get("Idempotency-Key"), Retry: h.Get("Client-Retry") == "1",
-		Slots: 1, Timeout: s.classes[class].Deadline}
+		Slots: 1, Timeout: of.Deadline}
 	switch {
 	case q.ID == "" || len(q.ID) > 128:
 		return nil, bad("Request-Id is missing or too long")
 	case h.Get("Request-Class") != "" && h.Get("Request-Class") != class:
 		return nil, bad("Request-Class and path differ")
-	case s.classes[class].Keyed && q.IdempotencyKey == "":
+	case of.Keyed && q.IdempotencyKey == "":
 		return nil, bad("this class wants an Idempotency-Key")
 	}
 	if t := h["Request-Timeout"]; t != nil { // an empty one is no time
--- a/internal/ingress/request_test.go
+++ b/internal/ingress/request_test.go
@@ -1,8 +1,12 @@
 package ingress
 
 import (
+	"io"
+	"strings"
 	"testing"
 	"time"
+
+	"example.org/bellstream/internal/wiretest"
 )
 
 // Not-Before is measured against the system's clock as it stands when the request
@@ -15,3 +19,42 @@
 		}
 	}
 }
+
+// A class that appears is known at once. One that vanishes is known until what
+// was on its way has come; what came meanwhile has the class it came with.
+func TestRetuneClasses(t *testing.T) {
+	s, d, l := start(t, 8)
+	c := l.Dial()
+	post := func(class string) {
+		io.WriteString(c, "POST /"+class+" HTTP/1.1\r\nHost: x\r\nRequest-Id: "+class+"\r\nContent-Length: 0\r\n\r\n")
+	}
+	s.Retune(map[string]Class{"new": {Deadline: time.Second}, "safe": {Deadline: time.Second}})
+	for class, deadline := range map[string]time.Duration{"new": time.Second, "safe": time.Second} {
+		post(class)
+		r := wiretest.Get(t, d.arrivals, class)
+		if r.Timeout != deadline {
+			t.Errorf("%s: deadline %v", class, r.Timeout)
+		}
+		r.Answer(Answer{Status: 200})
+		c.Status(t)
+	}
+	post("keyed") // it is on its way, and still wants its key
+	if got, why := c.Status(t); got != 400 || !strings.Contains(why, "Idempotency-Key") {
+		t.Errorf("a class that has just vanished got %d %s", got, why)
+	}
+	gone := (*s.classes.Load())["keyed"]
+	gone.until = time.Now().Add(-time.Millisecond)
+	(*s.classes.Load())["keyed"] = gone
+	c = l.Dial()
+	post("keyed")
+	if got, _ := c.Status(t); got != 404 {
+		t.Errorf("a class that vanished long ago got %d", got)
+	}
+	s.Retune(classes)
+	c = l.Dial()
+	post("new")
+	wiretest.Get(t, d.arrivals, "one that vanished").Answer(Answer{Status: 200})
+	if s.Retune(classes); len(*s.classes.Load()) != 3 {
+		t.Errorf("%d classes are known", len(*s.classes.Load()))
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +21,7 @@
 	idleTime = 2 * time.Minute // between requests
 	sendTime = 5 * time.Second // to write an answer
 	fresh    = 250 * time.Millisecond
+	vanish   = time.Second          // for which a class that the settings no longer name is taken
 	fullWait = 5 * time.Millisecond // between looks for a seat when all are taken
 )
 
@@ -37,7 +39,7 @@
 
 // Server is the clients' side.
 type Server struct {
-	classes map[string]Class
+	classes atomic.Pointer[map[string]Class]
 	Waits   bool // requests may say what they wait for; set before Serve
 	desk    Desk
 	phase   Phase
@@ -55,8 +57,28 @@
 // NewServer makes a server for the given classes, by name, that holds most
 // connections at one time, and a sixteenth more that are turned away in good form.
 func NewServer(classes map[string]Class, desk Desk, phase Phase, most int, log func(string, ...any)) *Server {
-	return &Server{classes: classes, desk: desk, phase: phase, most: most, slowest: slowest, fresh: fresh, log: log,
+	s := &Server{desk: desk, phase: phase, most: most, slowest: slowest, fresh: fresh, log: log,
 		conns: map[*conn]bool{}}
+	s.classes.Store(&classes)
+	return s
+}
+
+// Retune puts other classes into force, as a whole. One that is not among them
+// is known for a moment more: requests of it are on their way.
+func (s *Server) Retune(classes map[string]Class) {
+	next := maps.Clone(classes)
+	for name, c := range *s.classes.Load() {
+		if _, ok := next[name]; ok {
+			continue
+		}
+		if c.until.IsZero() {
+			c.until = time.Now().Add(vanish)
+		}
+		if time.Now().Before(c.until) {
+			next[name] = c
+		}
+	}
+	s.classes.Store(&next)
 }
 
 // Resize changes how many connections there may be. Those that are open stay.
@@ -302,7 +324,7 @@
 	if err != nil {
 		return false, s.complain(c, err)
 	}
-	class, err := s.check(r)
+	class, of, err := s.check(r)
 	if err != nil {
 		return false, s.complain(c, err)
 	}
@@ -321,7 +343,7 @@
 			return false, err
 		}
 	}
-	q, err := s.parse(r, class)
+	q, err := s.parse(r, class, of)
 	if err != nil {
 		return false, s.complain(c, err)
 	}
--- a/internal/service/parts.go
+++ b/internal/service/parts.go
@@ -78,7 +78,7 @@
 			show.Registry.MustRegister(storeMetrics(p.figures))
 		}
 	}
-	p.list = append(p.list, ageingPart{p, conf.Settings.Lanes})
+	p.list = append(p.list, ageingPart{p, conf})
 	if show != nil {
 		o.Depths = waiting.NewDepths()
 		show.Registry.MustRegister(depthMetrics(p.figures))
@@ -162,12 +162,12 @@
 
 // ageingPart has other promises count for what comes from now on.
 type ageingPart struct {
-	p     *parts
-	lanes []settings.Lane
+	p    *parts
+	conf *settings.Instance // in force
 }
 
 func (a ageingPart) Reload(f *operator.File) error {
-	waits, err := f.Waits(a.lanes)
+	waits, err := f.Waits(a.conf.Settings.Lanes)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/service/reload.go
@@ -0,0 +1,116 @@
+package service
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"example.org/bellstream/internal/dispatcher"
+	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/ingress"
+	"example.org/bellstream/internal/operator"
+	"example.org/bellstream/internal/settings"
+)
+
+// running is what a reload of the platform's configuration reaches.
+type running struct {
+	config string
+	conf   *settings.Instance // in force
+	server *ingress.Server
+	pool   *egress.Pool
+	loop   *dispatcher.Dispatcher
+	logf   func(format string, args ...any)
+}
+
+// reload reads the file again and puts it into force, or nothing of it.
+func (r *running) reload() bool {
+	next, err := r.conf.Next(r.config)
+	if err != nil {
+		r.logf("reload: the old configuration stays in force: %v", err)
+		return false
+	}
+	for _, what := range changes(r.conf, next) {
+		r.logf("reload: %s", what)
+	}
+	for _, w := range operator.Warnings(next.Settings) {
+		r.logf("%s", w)
+	}
+	// Name and addresses are bound for good: what the file says of them is told
+	// again by each reload.
+	next.Name, next.Listen, next.Control = r.conf.Name, r.conf.Listen, r.conf.Control
+	*r.conf = *next
+	limit(next)
+	in, out := places(room(next))
+	r.server.Resize(in)
+	r.pool.Resize(out)
+	r.pool.Retune(times(next.Settings))
+	// The loop first: a class is known to the module before its first job comes.
+	r.loop.Retune(next.Settings)
+	r.server.Retune(classes(next.Settings))
+	r.loop.Redirect(next.Discovery)
+	return true
+}
+
+// classes are those of the settings, as ingress has to know them.
+func classes(s *settings.Settings) map[string]ingress.Class {
+	all := map[string]ingress.Class{}
+	for _, l := range s.Lanes {
+		all[l.Name] = ingress.Class{Keyed: l.Semantics == "keyed", Deadline: seconds(l.HardLimit, 60)}
+	}
+	return all
+}
+
+// times are how long a dial may take and an idle connection to a target is
+// kept. A dial that outlasts the drain grace would send to a target that drains.
+func times(s *settings.Settings) (dial, keep time.Duration) {
+	return min(seconds(s.Caps.DialTimeout, 0.25), seconds(s.Rules.DrainGrace, 60)), seconds(s.Caps.Keepalive, 15) * 2 / 3
+}
+
+// changes says what a reload changes, and what it leaves for the next start.
+// Seed and known list are for a start only.
+func changes(old, next *settings.Instance) (said []string) {
+	say := func(format string, args ...any) { said = append(said, fmt.Sprintf(format, args...)) }
+	if old.Discovery != next.Discovery {
+		say("discovery is at %s now", next.Discovery)
+	}
+	if old.Cores != next.Cores || old.MemoryMB != next.MemoryMB || old.Sockets != next.Sockets {
+		say("limits are %v cores, %d MB, %d descriptors now", next.Cores, next.MemoryMB, next.Sockets)
+	}
+	if next.Control != "" && old.Control != next.Control {
+		say("control stays %s until the next start", old.Control)
+	}
+	if old.Listen != next.Listen || old.Name != next.Name {
+		say("name and listen address stay %s and %s until the next start", old.Name, old.Listen)
+	}
+	if !reflect.DeepEqual(old.Settings, next.Settings) {
+		say("the settings are new: %s", classChanges(old.Settings, next.Settings))
+	}
+	if said == nil {
+		say("nothing has changed")
+	}
+	return said
+}
+
+// classChanges names the classes that come and go, and says where there is more.
+func classChanges(old, next *settings.Settings) string {
+	was, is := classes(old), classes(next)
+	var said []string
+	for _, l := range next.Lanes {
+		if _, ok := was[l.Name]; !ok {
+			said = append(said, fmt.Sprintf("class %s appears (%s)", l.Name, l.Semantics))
+		}
+	}
+	for _, l := range old.Lanes {
+		if _, ok := is[l.Name]; !ok {
+			said = append(said, fmt.Sprintf("class %s vanishes", l.Name))
+		}
+	}
+	if old.Caps.MaxAttempts != next.Caps.MaxAttempts {
+		said = append(said, fmt.Sprintf("%d attempts instead of %d", next.Caps.MaxAttempts, old.Caps.MaxAttempts))
+	}
+	if said == nil {
+		return "the same classes with other figures"
+	}
+	return strings.Join(said, ", ")
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -70,9 +69,8 @@
 	}
 	in, out := places(room(conf))
 	s := conf.Settings
-	// A dial that outlasts the drain grace would send to a target that drains.
-	dial := min(seconds(s.Caps.DialTimeout, 0.25), seconds(s.Rules.DrainGrace, 60))
-	pool := &egress.Pool{Max: out, Dial: dial, Keep: seconds(s.Caps.Keepalive, 15) * 2 / 3, Now: time.Now}
+	dial, keep := times(s)
+	pool := &egress.Pool{Max: out, Dial: dial, Keep: keep, Now: time.Now}
 	o := dispatcher.Options{Settings: s, Seed: conf.Seed, Known: conf.Known, Egress: pool, Phases: &dispatcher.Phases{},
 		Log: logf, Now: time.Now, Discovery: conf.Discovery, Watch: route.Watch}
 	parts, err := build(op, conf, log, &o)
@@ -85,16 +83,12 @@
 		return err
 	}
 	parts.bind(d)
-	classes := map[string]ingress.Class{}
-	for _, l := range s.Lanes {
-		classes[l.Name] = ingress.Class{Keyed: l.Semantics == "keyed", Deadline: seconds(l.HardLimit, 60)}
-	}
 	l, err := net.Listen("tcp", conf.Listen)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	server := ingress.NewServer(classes, d, o.Phases, in, logf)
+	server := ingress.NewServer(classes(s), d, o.Phases, in, logf)
 	server.Waits = o.Waiting != nil
 	if conf.Control != "" {
 		cl, err := net.Listen("tcp", conf.Control)
@@ -110,25 +104,10 @@
 		parts.leave()
 		d.Stop()
 	}()
+	r := &running{config: config, conf: conf, server: server, pool: pool, loop: d, logf: logf}
 	go func() {
 		for range reloads {
-			next, err := settings.Load(config)
-			if err != nil {
-				logf("reload: the old configuration stays in force: %v", err)
-				continue
-			}
-			for _, what := range changes(conf, next) {
-				logf("reload: %s", what)
-			}
-			next.Control = conf.Control // it is bound for good
-			limit(next)
-			in, out := places(room(next))
-			server.Resize(in)
-			pool.Resize(out)
-			d.Redirect(next.Discovery)
-			// What waits for the next start is told again by each reload.
-			conf.Discovery, conf.Cores, conf.MemoryMB, conf.Sockets = next.Discovery, next.Cores, next.MemoryMB, next.Sockets
-			if file != "" {
+			if r.reload() && file != "" {
 				parts.reload(file, log)
 			}
 		}
@@ -147,31 +126,6 @@
 	return logging.New(os.Stderr, level, format)
 }
 
-// changes says what a reload changes, and what it leaves for the next start.
-// Seed and known list are for a start only.
-func changes(old, next *settings.Instance) (said []string) {
-	say := func(format string, args ...any) { said = append(said, fmt.Sprintf(format, args...)) }
-	if old.Discovery != next.Discovery {
-		say("discovery is at %s now", next.Discovery)
-	}
-	if old.Cores != next.Cores || old.MemoryMB != next.MemoryMB || old.Sockets != next.Sockets {
-		say("limits are %v cores, %d MB, %d descriptors now", next.Cores, next.MemoryMB, next.Sockets)
-	}
-	if next.Control != "" && old.Control != next.Control {
-		say("control stays %s until the next start", old.Control)
-	}
-	if old.Listen != next.Listen || old.Name != next.Name {
-		say("name and listen address stay %s and %s until the next start", old.Name, old.Listen)
-	}
-	if !reflect.DeepEqual(old.Settings, next.Settings) {
-		say("the settings stay the old ones until the next start")
-	}
-	if said == nil {
-		say("nothing has changed")
-	}
-	return said
-}
-
 // seconds is a setting as a duration, or the given default where it is not set.
 func seconds(v, none float64) time.Duration {
 	if v <= 0 {
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -19,6 +19,7 @@
 	MemoryMB, Sockets       int
 	Known                   []byte // the route table as last held, in discovery's form
 	Settings                *Settings
+	keys                    map[string]bool // that the file has, see keysOf
 }
 
 // Load reads an instance's configuration file.
@@ -37,13 +38,27 @@
 	return i, nil
 }
 
+// Next reads the file again, for a program that runs. It is judged as a whole,
+// and harder than at a start, where what is missing has a default: a key that
+// the file in force has and this one lacks was lost on the way.
+func (i *Instance) Next(path string) (*Instance, error) {
+	next, err := Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := next.complete(i.keys); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return next, nil
+}
+
 // ParseInstance decodes a configuration file. Unknown fields are skipped.
 func ParseInstance(raw []byte) (*Instance, error) {
 	if !gjson.ValidBytes(raw) {
 		return nil, errors.New("not valid JSON")
 	}
 	r := &reader{root: gjson.ParseBytes(raw)}
-	i := &Instance{Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"), Control: r.text("control"),
+	i := &Instance{keys: keysOf(r.root), Name: r.text("name"), Listen: r.text("listen"), Discovery: r.text("discovery"), Control: r.text("control"),
 		Cores: r.num("limits.cores"), MemoryMB: r.int("limits.memory_mb"), Sockets: r.int("limits.sockets"),
 		Known: []byte(r.get("known", gjson.JSON).Raw)}
 	if seed := r.text("seed"); seed != "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -141,6 +141,9 @@
 	c.Probes, c.RetryAfter = r.flag("caps.probes"), r.flag("caps.retry_after")
 	c.DialTimeout, c.Keepalive = r.num("caps.dial_timeout"), r.num("caps.keepalive")
 	c.MaxRetryAfter, c.MaxAttempts = r.num("caps.max_retry_after"), r.int("caps.max_attempts")
+	if v := r.num("caps.max_attempts"); v != float64(c.MaxAttempts) && r.err == nil {
+		r.err = fmt.Errorf("caps.max_attempts: %v is not a whole number", v)
+	}
 	u := &s.Rules
 	u.AskEvery, u.ColdFrom, u.WarmAfter = r.num("rules.ask_every"), r.num("rules.cold_from"), r.num("rules.warm_after")
 	u.Fall, u.FallMultiple = r.num("rules.fall"), r.num("rules.fall_multiple")
