Let a new version take over beside the running one, on an inherited socket

The change: the clients' socket by RELAY_INHERITED_FD (checked); internal/handover decides who leads, internal/handover/dir keeps living processes (locks) and what operators said in a folder below TMPDIR; the loop yields or leads; limits are divided; cold budgets are not doubled.

--- /dev/null
+++ b/cmd/bellstream/upgrade_test.go
@@ -0,0 +1,314 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/bellstream/internal/wiretest"
+)
+
+// site is a dispatcher as the platform holds it: the clients' socket, a folder
+// that is kept, and the processes started one beside the other.
+type site struct {
+	t      *testing.T
+	l      *net.TCPListener
+	tmp    string
+	config string
+}
+
+func newSite(t *testing.T, config string) *site {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &site{t, l.(*net.TCPListener), t.TempDir(), filepath.Join(t.TempDir(), "config.json")}
+	write(t, s.config, strings.NewReplacer(`"127.0.0.1:0"`, strconv.Quote(l.Addr().String()), `"listen"`, `"control":"127.0.0.1:0","listen"`).Replace(config))
+	return s
+}
+
+// process is one of them.
+type process struct {
+	*exec.Cmd
+	control string
+	log     chan string // its lines
+}
+
+// start starts one more, and returns when its control address is there.
+func (s *site) start() *process {
+	s.t.Helper()
+	f, err := s.l.File()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer f.Close()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BELLSTREAM_MAIN=1", "RELAY_CONFIG="+s.config, "RELAY_INHERITED_FD=3", "TMPDIR="+s.tmp)
+	cmd.ExtraFiles = []*os.File{f}
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { cmd.Process.Kill() })
+	r := bufio.NewReader(log)
+	p := &process{Cmd: cmd, control: logged(s.t, r, "control listens on "), log: make(chan string, 10000)}
+	go func() {
+		defer close(p.log)
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			select {
+			case p.log <- line:
+			default:
+			}
+		}
+	}()
+	return p
+}
+
+func (p *process) ready(t *testing.T) {
+	t.Helper()
+	wiretest.Until(t, "the yes", func() bool { return say(t, p.control, "STATUS") == "ok\n" })
+}
+
+// stop ends a process as the platform does, and returns when it is gone.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	p.Process.Signal(syscall.SIGTERM)
+	for range p.log {
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+// caller sends one job after the other on its connection, as the protocol's
+// clients do: a job on a connection that was used before and closes without a
+// word is sent once more on a new one.
+type caller struct {
+	addr         string
+	served, back int
+	wrong        []string
+}
+
+func (c *caller) run(no int, stop *atomic.Bool) {
+	var conn net.Conn
+	var r *bufio.Reader
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for n := 0; !stop.Load(); n++ {
+		id := fmt.Sprintf("c%d-%d", no, n)
+		for try := 0; ; try++ {
+			used := conn != nil
+			if !used {
+				var err error
+				if conn, err = net.Dial("tcp", c.addr); err != nil {
+					c.wrong = append(c.wrong, err.Error())
+					return
+				}
+				r = bufio.NewReader(conn)
+			}
+			conn.SetDeadline(time.Now().Add(10 * time.Second))
+			io.WriteString(conn, strings.Replace(job, "Request-Id: r", "Request-Id: "+id, 1))
+			resp, err := http.ReadResponse(r, nil)
+			if err == nil {
+				io.Copy(io.Discard, resp.Body)
+				if c.served++; resp.StatusCode != 200 {
+					c.wrong = append(c.wrong, fmt.Sprintf("%s: %d", id, resp.StatusCode))
+				}
+				if resp.Close {
+					conn.Close()
+					conn = nil
+				}
+				break
+			}
+			conn.Close()
+			conn = nil
+			if c.back++; try > 0 || !used {
+				c.wrong = append(c.wrong, fmt.Sprintf("%s: %v on a connection used before: %v", id, err, used))
+				break
+			}
+		}
+		time.Sleep(time.Duration(n%20) * time.Millisecond) // so that some stand idle
+	}
+}
+
+// Versions follow each other under load. No job is lost or runs twice, and few
+// are turned back. BELLSTREAM_UPGRADES says how many follow, where more than a
+// few are to be measured.
+func TestUpgrades(t *testing.T) {
+	upgrades := 3
+	if n, err := strconv.Atoi(os.Getenv("BELLSTREAM_UPGRADES")); err == nil {
+		upgrades = n
+	}
+	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
+	var mu sync.Mutex
+	ran := map[string]int{}
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		for {
+			select {
+			case c := <-target.Calls:
+				id := c.Req.Header.Get("Request-Id")
+				mu.Lock()
+				ran[id]++
+				mu.Unlock()
+				time.AfterFunc(5*time.Millisecond, func() { c.Reply(wiretest.Lines(true, `{"id":"`+id+`","state":"done","result":"x"}`)) })
+			case <-target.Ends:
+			case <-over:
+				return
+			}
+		}
+	}()
+	// As many targets as callers, so that none has to wait for the other.
+	var hosts []string
+	for n := range 24 {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s%d","dial":%q,"site":"z","health":"active"}`, n, target.Addr))
+	}
+	conf := fmt.Sprintf(config, discovery.Addr, target.Addr)
+	from, to := strings.Index(conf, `{"host":"s"`), strings.Index(conf, `]}`)
+	s := newSite(t, conf[:from]+strings.Join(hosts, ",")+conf[to:])
+	old := s.start()
+	old.ready(t)
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	callers := make([]*caller, 12)
+	for n := range callers {
+		callers[n] = &caller{addr: s.l.Addr().String()}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			callers[n].run(n, &stop)
+		}()
+	}
+	for range upgrades {
+		next := s.start()
+		next.ready(t)
+		old.stop(t)
+		old = next
+	}
+	stop.Store(true)
+	wg.Wait()
+	served, back := 0, 0
+	for _, c := range callers {
+		served, back = served+c.served, back+c.back
+		for _, w := range c.wrong {
+			t.Error(w)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range ran {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	t.Logf("%d upgrades, %d jobs served, %d turned back unheard", upgrades, served, back)
+	if served < 50*upgrades || back > 2*upgrades {
+		t.Errorf("%d jobs served, %d turned back in %d upgrades", served, back, upgrades)
+	}
+}
+
+// A new process that is killed leaves the old one to go on, whether it had
+// said yes or not; and one that is stopped does too.
+func TestNewProcessEnds(t *testing.T) {
+	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
+	s := newSite(t, fmt.Sprintf(config, discovery.Addr, target.Addr))
+	old := s.start()
+	old.ready(t)
+	for _, end := range []func(p *process){
+		func(p *process) { p.Process.Kill() },
+		func(p *process) { p.ready(t); p.Process.Kill() },
+		func(p *process) { p.ready(t); p.stop(t) },
+	} {
+		next := s.start()
+		end(next)
+		next.Wait()
+		old.ready(t)
+		c := dial(t, s.l.Addr().String())
+		if got := asked(t, c); got != 200 {
+			t.Errorf("health %d after the new process has ended", got)
+		}
+		c.Close()
+	}
+	// While it yields, its own connections say yes for the dispatcher, and close.
+	c := dial(t, s.l.Addr().String())
+	if got := asked(t, c); got != 200 {
+		t.Errorf("health %d", got)
+	}
+	next := s.start()
+	next.ready(t)
+	wiretest.Until(t, "the old process to yield", func() bool { return strings.HasPrefix(say(t, old.control, "STATUS"), "fail another") })
+	if got := asked(t, c); got != 200 {
+		t.Errorf("health %d at the old process", got)
+	}
+	c.Ended(t)
+	// A pause said to one binds the other.
+	say(t, old.control, "PAUSE")
+	wiretest.Until(t, "the pause", func() bool { return say(t, next.control, "STATUS") == "fail paused\n" })
+	say(t, next.control, "RESUME")
+	next.ready(t)
+	old.stop(t)
+	next.ready(t)
+}
+
+// A descriptor that is no listening TCP socket stops the start, by its name.
+func TestBadDescriptors(t *testing.T) {
+	file, err := os.Create(filepath.Join(t.TempDir(), "file"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	ul, err := net.Listen("unix", filepath.Join(t.TempDir(), "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ul.Close()
+	uf, _ := ul.(*net.UnixListener).File()
+	defer uf.Close()
+	for _, c := range []struct {
+		fd   string
+		file *os.File
+		want string
+	}{
+		{"3", file, "RELAY_INHERITED_FD: descriptor 3 is no listening socket"},
+		{"3", uf, "RELAY_INHERITED_FD: descriptor 3 is no TCP socket"},
+		{"77", file, "RELAY_INHERITED_FD: descriptor 77 is no listening socket"},
+		{"three", file, `RELAY_INHERITED_FD: "three" is no descriptor`},
+		{"1", file, `RELAY_INHERITED_FD: "1" is no descriptor`},
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		write(t, path, fmt.Sprintf(config, "127.0.0.1:1", "127.0.0.1:1"))
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "BELLSTREAM_MAIN=1", "RELAY_CONFIG="+path, "RELAY_INHERITED_FD="+c.fd)
+		cmd.ExtraFiles = []*os.File{c.file}
+		out, err := cmd.CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || !strings.Contains(string(out), c.want) || strings.Count(string(out), "\n") != 1 {
+			t.Errorf("%s: %v, %s; want %q", c.fd, err, out, c.want)
+		}
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -102,14 +102,17 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	ended   float64           // when the stop came
-	retired float64           // until when clients keep their connections after it
-	paused  float64           // since when operators have it empty; 0: they don't
-	looker  *wheel.Timer[any] // the next look at idle connections
-	most    float64           // how long it may take
-	steps   uint64
-	tenants map[string]bool // those of the settings
-	seldom  *logging.Limited
+	ended   float64 // when the stop came
+	retired float64 // until when clients keep their connections after it
+	paused  float64 // since when operators have it empty; 0: they don't
+	yields  bool    // to a newer process
+	// coldPart is how much of its part of cold workers' budgets this process uses.
+	coldPart float64
+	looker   *wheel.Timer[any] // the next look at idle connections
+	most     float64           // how long it may take
+	steps    uint64
+	tenants  map[string]bool // those of the settings
+	seldom   *logging.Limited
 }
 
 // held is a request from its arrival until it is answered and no hop of it is out.
@@ -167,6 +170,7 @@
 	deadline struct{ h *held }
 	sweeping struct{}
 	again    struct{} // ask discovery once more
+	warmed   struct{} // what another process sent to cold workers is over
 	looking  struct{} // at what is left while it is emptied
 )
 
@@ -175,14 +179,14 @@
 	if o.Settings.Round < 0 || o.Settings.Round > 1 {
 		return nil, fmt.Errorf("round: %v is not a time from 0 to 1 s", o.Settings.Round)
 	}
-	b, err := balance.New(config(o.Settings, o.Ageing), o.Seed)
-	if err != nil {
-		return nil, err
-	}
-	d := &Dispatcher{Options: o, bal: b, base: o.Now(), round: o.Settings.Round,
+	d := &Dispatcher{Options: o, coldPart: 1, base: o.Now(), round: o.Settings.Round,
 		posts: make(chan any, queue), nudges: make(chan struct{}, 1), done: make(chan struct{}),
 		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {},
 		seldom: logging.NewLimited(time.Minute, o.Now)}
+	var err error
+	if d.bal, err = balance.New(d.config(), o.Seed); err != nil {
+		return nil, err
+	}
 	d.wheel = wheel.New[any](fineTick(o.Settings.Rules.GraceToAnswer), d.clock())
 	d.recent = newRecent(0, d.clock())
 	d.measure()
@@ -326,6 +330,10 @@
 			d.wheel.Set(now+sweep, sweeping{})
 		case again:
 			d.subscribe()
+		case warmed:
+			if !d.yields {
+				d.cold(1)
+			}
 		case looking:
 			d.look(now)
 		}
@@ -399,7 +407,7 @@
 			d.ended = d.clock()
 			// Clients whose connections end now may have nowhere to go: in a rolling
 			// restart the others may not be back yet. So that comes some time later.
-			if d.retired = d.ended; d.paused == 0 {
+			if d.retired = d.ended; d.paused == 0 && !d.yields {
 				d.retired += retire * d.most
 			}
 			d.lookAt(d.retired)
--- a/internal/dispatcher/phase.go
+++ b/internal/dispatcher/phase.go
@@ -35,7 +35,10 @@
 
 // Phases is the one object that holds the program's phase. The loop moves it
 // on, and so do operators' commands; connections read it.
-type Phases struct{ now atomic.Int32 }
+type Phases struct {
+	now    atomic.Int32
+	yields atomic.Bool // a newer process of this dispatcher takes the new clients
+}
 
 // Now is the present phase.
 func (p *Phases) Now() Phase { return Phase(p.now.Load()) }
@@ -57,11 +60,21 @@
 	}
 }
 
-// Ready says that the program serves and new clients are welcome.
-func (p *Phases) Ready() bool { return p.Now() == Serving }
+// Yield says whether a newer process of this dispatcher takes the new clients.
+func (p *Phases) Yield(on bool) { p.yields.Store(on) }
+
+// Yields says the same.
+func (p *Phases) Yields() bool { return p.yields.Load() }
+
+// Ready says that the dispatcher serves and new clients are welcome. Where a
+// newer process takes them that goes on to hold, whatever becomes of this one.
+func (p *Phases) Ready() bool {
+	now := p.Now()
+	return now == Serving || now >= Retiring && p.Yields()
+}
 
 // Ending says that clients are to leave with their next answer.
 func (p *Phases) Ending() bool {
 	now := p.Now()
-	return now == Paused || now >= Draining
+	return now == Paused || now >= Draining || p.Yields()
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,11 +48,13 @@
 	fresh   time.Duration // how long a connection has to bring a byte before it may make room; twice that for a request
 	log     func(format string, args ...any)
 
-	mu    sync.Mutex
-	most  int // connections at one time
-	conns map[*conn]bool
-	going int          // of them, those that were evicted
-	taken atomic.Int64 // requests read and not yet answered on the wire
+	mu     sync.Mutex
+	most   int // connections at one time
+	conns  map[*conn]bool
+	going  int           // of them, those that were evicted
+	l      net.Listener  // that Serve accepts from
+	parked chan struct{} // closed when new connections are taken again; nil: they are taken
+	taken  atomic.Int64  // requests read and not yet answered on the wire
 }
 
 // NewServer makes a server for the given classes, by name, that holds most
@@ -88,6 +91,27 @@
 	s.most = most
 }
 
+// Hold has no new connections taken, or takes them again. The listener stays
+// open: another process may accept from the same socket. One that was accepted
+// before Hold returns is served.
+func (s *Server) Hold(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on == (s.parked != nil) {
+		return
+	}
+	until := time.Time{}
+	if on {
+		s.parked, until = make(chan struct{}), time.Unix(1, 0)
+	} else {
+		close(s.parked)
+		s.parked = nil
+	}
+	if l, ok := s.l.(interface{ SetDeadline(time.Time) error }); ok {
+		l.SetDeadline(until)
+	}
+}
+
 // admit waits until there is a seat for one more connection. While all of them
 // wait for an answer, the spare ones too, clients wait in the backlog.
 func (s *Server) admit() {
@@ -131,13 +155,26 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	var said time.Time
+	s.mu.Lock()
+	s.l = l
+	s.mu.Unlock()
 	for {
 		s.admit()
+		s.mu.Lock()
+		parked := s.parked
+		s.mu.Unlock()
+		if parked != nil {
+			<-parked
+			continue
+		}
 		nc, err := l.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				continue // parked
+			}
 			// Running out of descriptors is no crash: what is open goes on, and
 			// the oldest idle connection makes room.
 			if time.Since(said) > time.Second {
--- /dev/null
+++ b/internal/service/overlap.go
@@ -0,0 +1,162 @@
+package service
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"example.org/bellstream/internal/dispatcher"
+	"example.org/bellstream/internal/handover"
+	"example.org/bellstream/internal/handover/dir"
+	"example.org/bellstream/internal/settings"
+)
+
+// How often a process looks for others, until it is ready and then.
+const (
+	lookSoon = 5 * time.Millisecond
+	lookOn   = 50 * time.Millisecond
+)
+
+// inheritedKey names the variable that gives the clients' listening socket, by
+// its descriptor.
+const inheritedKey = "RELAY_INHERITED_FD"
+
+// listen opens the clients' socket, or takes the one that the platform holds.
+func listen(addr string) (l net.Listener, inherited bool, err error) {
+	fd := os.Getenv(inheritedKey)
+	if fd == "" {
+		l, err = net.Listen("tcp", addr)
+		return l, false, err
+	}
+	n, err := strconv.Atoi(fd)
+	if err != nil || n < 3 {
+		return nil, false, fmt.Errorf("%s: %q is no descriptor from 3 on", inheritedKey, fd)
+	}
+	is, err := unix.GetsockoptInt(n, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+	if err != nil || is != 1 {
+		return nil, false, fmt.Errorf("%s: descriptor %d is no listening socket (%v)", inheritedKey, n, err)
+	}
+	f := os.NewFile(uintptr(n), "clients")
+	defer f.Close() // FileListener has its own
+	if l, err = net.FileListener(f); err != nil {
+		return nil, false, fmt.Errorf("%s: %w", inheritedKey, err)
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, false, fmt.Errorf("%s: descriptor %d is no TCP socket", inheritedKey, n)
+	}
+	return l, true, nil
+}
+
+// overlap joins what operators say with the loop, and this process with
+// others of the same dispatcher. Without a folder it stands alone.
+type overlap struct {
+	loop   *dispatcher.Dispatcher
+	run    *running
+	member *dir.Member // nil: it stands alone
+	mu     sync.Mutex  // of shared, where it stands alone
+	shared *handover.Shared
+	others int
+	done   chan struct{}
+	wg     sync.WaitGroup
+}
+
+// newOverlap enters the dispatcher's folder below $TMPDIR. Where there is none
+// commands bind this process for as long as it lives.
+func newOverlap(conf *settings.Instance, loop *dispatcher.Dispatcher, run *running, logf func(string, ...any)) *overlap {
+	o := &overlap{loop: loop, run: run, shared: &handover.Shared{}, done: make(chan struct{})}
+	tmp := os.Getenv("TMPDIR")
+	if tmp == "" {
+		logf("handover: no TMPDIR: what operators say ends with this process")
+		return o
+	}
+	m, err := dir.Join(dir.Path(tmp, conf.Name, conf.Listen), logf)
+	if err != nil {
+		logf("handover: what operators say ends with this process: %v", err)
+		return o
+	}
+	o.member = m
+	m.Look(o.adopt) // bans apply before anything is served
+	o.wg.Add(1)
+	go o.watch()
+	return o
+}
+
+// watch looks for changes until the end.
+func (o *overlap) watch() {
+	defer o.wg.Done()
+	every := time.NewTicker(lookSoon)
+	defer every.Stop()
+	soon := true
+	for {
+		select {
+		case <-o.done:
+			return
+		case <-every.C:
+		}
+		switch p := o.run.phases.Now(); {
+		case p >= dispatcher.Retiring:
+			o.member.Tell(handover.Leaving)
+		case p > dispatcher.Starting && soon:
+			o.member.Tell(handover.Ready)
+			every.Reset(lookOn)
+			soon = false
+		}
+		o.member.Look(o.adopt)
+	}
+}
+
+// adopt puts into force what holds now.
+func (o *overlap) adopt(v dir.View) {
+	o.loop.Adopt(v.Shared, v.Leads)
+	o.run.server.Hold(!v.Leads)
+	if v.Others != o.others {
+		o.others = v.Others
+		o.run.divide(v.Others + 1)
+	}
+}
+
+// change changes what holds, here and in the other processes.
+func (o *overlap) change(f func(*handover.Shared) (*handover.Shared, error)) error {
+	if o.member != nil {
+		return o.member.Change(f, o.adopt)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next, err := f(o.shared)
+	if err == nil {
+		o.shared = next
+		o.loop.Adopt(next, true)
+	}
+	return err
+}
+
+// close takes the process out of the folder.
+func (o *overlap) close() {
+	close(o.done)
+	o.wg.Wait()
+	if o.member != nil {
+		o.member.Leave()
+	}
+}
+
+// Status, and the calls below, make it the desk of the control address.
+func (o *overlap) Status() error { return o.loop.Status() }
+
+// Pause empties the dispatcher.
+func (o *overlap) Pause() error { return o.pause(true) }
+
+// Resume ends that.
+func (o *overlap) Resume() error { return o.pause(false) }
+
+func (o *overlap) pause(on bool) error {
+	if p := o.run.phases.Now(); p >= dispatcher.Retiring {
+		return fmt.Errorf("%s", p)
+	}
+	return o.change(func(s *handover.Shared) (*handover.Shared, error) { return s.Pause(on), nil })
+}
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"strings"
+	"sync"
 	"time"
 
 	"example.org/bellstream/internal/dispatcher"
@@ -16,15 +17,37 @@
 // running is what a reload of the platform's configuration reaches.
 type running struct {
 	config string
-	conf   *settings.Instance // in force
 	server *ingress.Server
 	pool   *egress.Pool
 	loop   *dispatcher.Dispatcher
+	phases *dispatcher.Phases
 	logf   func(format string, args ...any)
+
+	mu      sync.Mutex
+	conf    *settings.Instance // in force
+	sharers int                // processes that share the limits, this one included
+}
+
+// divide has this process use its part of the limits while there are others.
+func (r *running) divide(sharers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sharers = sharers
+	r.resize()
+}
+
+// resize applies the limits. It wants mu.
+func (r *running) resize() {
+	limit(r.conf, r.sharers)
+	in, out := places(room(r.conf) / r.sharers)
+	r.server.Resize(in)
+	r.pool.Resize(out)
 }
 
 // reload reads the file again and puts it into force, or nothing of it.
 func (r *running) reload() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	next, err := r.conf.Next(r.config)
 	if err != nil {
 		r.logf("reload: the old configuration stays in force: %v", err)
@@ -40,10 +63,7 @@
 	// again by each reload.
 	next.Name, next.Listen, next.Control = r.conf.Name, r.conf.Listen, r.conf.Control
 	*r.conf = *next
-	limit(next)
-	in, out := places(room(next))
-	r.server.Resize(in)
-	r.pool.Resize(out)
+	r.resize()
 	r.pool.Retune(times(next.Settings))
 	// The loop first: a class is known to the module before its first job comes.
 	r.loop.Retune(next.Settings)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -58,7 +58,7 @@
 	if conf.Control == "" {
 		conf.Control = os.Getenv("RELAY_CONTROL")
 	}
-	limit(conf)
+	limit(conf, 1)
 	log, err := logger(op)
 	if err != nil {
 		return err
@@ -83,20 +83,27 @@
 		return err
 	}
 	parts.bind(d)
-	l, err := net.Listen("tcp", conf.Listen)
+	l, inherited, err := listen(conf.Listen)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
 	server := ingress.NewServer(classes(s), d, o.Phases, in, logf)
 	server.Waits = o.Waiting != nil
-	if conf.Control != "" {
-		cl, err := net.Listen("tcp", conf.Control)
-		if err != nil {
-			return fmt.Errorf("control: %w", err)
+	r := &running{config: config, conf: conf, server: server, pool: pool, loop: d, phases: o.Phases, logf: logf, sharers: 1}
+	if conf.Control != "" || inherited {
+		var cl net.Listener
+		if conf.Control != "" {
+			if cl, err = net.Listen("tcp", conf.Control); err != nil {
+				return fmt.Errorf("control: %w", err)
+			}
+		}
+		over := newOverlap(conf, d, r, logf)
+		defer over.close()
+		if cl != nil {
+			defer door.Open(cl, over, logf).Close()
+			logf("control listens on %s", cl.Addr())
 		}
-		defer door.Open(cl, d, logf).Close()
-		logf("control listens on %s", cl.Addr())
 	}
 	go server.Serve(l)
 	go func() {
@@ -104,7 +111,6 @@
 		parts.leave()
 		d.Stop()
 	}()
-	r := &running{config: config, conf: conf, server: server, pool: pool, loop: d, logf: logf}
 	go func() {
 		for range reloads {
 			if r.reload() && file != "" {
@@ -134,14 +140,14 @@
 	return time.Duration(v * float64(time.Second))
 }
 
-// limit keeps the program within its share of the machine. Over the memory
-// limit it would be killed, so the collector works harder well before that.
-func limit(c *settings.Instance) {
+// limit keeps the program within its share of the machine, which processes of
+// one dispatcher divide. Over the memory limit it would be killed, so the collector works harder well before that.
+func limit(c *settings.Instance, sharers int) {
 	if c.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	}
 	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4 / int64(sharers))
 	}
 }
 
