Count a report that repeats itself after an end as full as news

Seen: in random steps of operators, lists and jobs a worker was never used again though it stood idle and reported three free slots for 80 s. Checked and ruled out: no ban, rest, probation or probe was open, it was not down (its state printed at the end). rep.free was 0 with the report's figures beside it: full() set the free slots to 0 and kept rep.raw, so note() took the same figures for the same old report, for ever (balance.go, note and full). With other dispatchers the figure fades; alone it does not. The change: full() forgets the raw figures. A report that can be older than that end is still not believed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -420,7 +420,7 @@
 // full books that a worker had no room just now.
 func (b *Balancer) full(w *worker) {
 	w.usual.add(0)
-	w.rep.ok, w.rep.free, w.rep.mem, w.rep.taken, w.rep.recv = true, 0, 0, b.now, b.now
+	w.rep.ok, w.rep.raw, w.rep.free, w.rep.mem, w.rep.taken, w.rep.recv = true, nil, 0, 0, b.now, b.now
 }
 
 // free estimates a worker's free slots and memory: the report, less own sends and plus
--- a/balance/failures_test.go
+++ b/balance/failures_test.go
@@ -335,3 +335,17 @@
 		}
 	}
 }
+
+// Found by random steps: a worker that was full once and then stands idle gives
+// the same report as before. Taken for the old one, it kept the worker out for good.
+func TestSameReportAfterFullIsNews(t *testing.T) {
+	r := newRig(t, base(), up("w")...)
+	s := of[Send](r.step(r.job("read", "a"), r.report("w", 3)))
+	r.at(101, done(s[0], 0, Full))
+	if got := of[Send](r.at(101.1, r.report("w", 3))); len(got) > 0 {
+		t.Errorf("sent %v upon a report that may be older than the end as full", got)
+	}
+	if got := of[Send](r.at(102, r.report("w", 3))); len(got) != 1 {
+		t.Errorf("sent %v though it has stood idle since", got)
+	}
+}
