Leave workers out at operators' word, and take them back cold

The change: the event Maintenance (the worker counts as draining, apart from the list), a last look of each hop right before its first byte, bans in the folder that processes share. Called back, a worker is new, cold, asked first, and the next to get a job.

--- a/balance/ageing_test.go
+++ b/balance/ageing_test.go
@@ -262,13 +262,18 @@
 	if refused("a") || refused("b") || len(b.aging.list) > 0 {
 		t.Fatal("promised without a promise")
 	}
-	if refused("c", Ageing{class, 1e-6}) || !refused("d") || len(b.aging.list) != 1 {
+	promise := func(of int, wait float64) Retune {
+		next := base()
+		next.Classes[of].MaxWait = wait
+		return Retune{next}
+	}
+	if refused("c", promise(0, 1e-6)) || !refused("d") || len(b.aging.list) != 1 {
 		t.Error("the first of a class gets its turn, the second can't within a microsecond")
 	}
-	if refused("e", Ageing{class, 0}) || len(b.aging.list) != 1 || b.aging.list[0].ageing != 100+1e-6 {
+	if refused("e", promise(0, 0)) || len(b.aging.list) != 1 || b.aging.list[0].ageing != 100+1e-6 {
 		t.Error("the end of the promise refuses a job, or forgets one that has it")
 	}
-	if refused("f", Ageing{"nobody's", 1e-6}, Ageing{class, -1}) {
+	if refused("f", promise(1, 1e-6), promise(0, -1)) {
 		t.Error("a promise of another class, or one below 0, counts")
 	}
 }
--- a/balance/api.go
+++ b/balance/api.go
@@ -169,10 +169,11 @@
 	Elsewhere float64 // in slots; below 0 where what was sent proved not to have run
 }
 
-// Ageing gives a class another MaxWait, for jobs that come from now on; 0 ends its promise.
-type Ageing struct {
-	Class   string
-	MaxWait float64
+// Maintenance says that operators leave a worker out, whatever the roster says of it, or take
+// it back. It may name one that the roster does not know yet. Attempts that are out go on.
+type Maintenance struct {
+	Worker string
+	Out    bool
 }
 
 // Retune puts other settings into force, as a whole; those that Config.Check refuses change
@@ -224,7 +225,7 @@
 func (Closing) event()        {}
 func (RosterUpdate) event()   {}
 func (Share) event()          {}
-func (Ageing) event()         {}
+func (Maintenance) event()    {}
 func (Retune) event()         {}
 
 // Action is something the caller has to carry out.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -67,7 +67,7 @@
 	}
 	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x1f15)), wakeAt: math.Inf(-1),
 		classes: map[string]*class{}, byName: map[string]*tenant{}, jobs: map[string]*job{},
-		byID: map[string]*worker{}, kinds: means{}, zones: means{},
+		byID: map[string]*worker{}, outs: map[string]float64{}, kinds: means{}, zones: means{},
 		most: map[string]float64{}}
 	b.adopt()
 	return b, nil
@@ -109,10 +109,8 @@
 			b.news(e)
 		case Share:
 			b.share(e)
-		case Ageing:
-			if c := b.classes[e.Class]; c != nil && e.MaxWait >= 0 {
-				c.MaxWait = e.MaxWait
-			}
+		case Maintenance:
+			b.maintain(e)
 		case Retune:
 			b.retune(e.Config)
 		case Closing:
@@ -548,10 +546,8 @@
 		if here || j.class.Kind != "" && j.class.Kind != w.Kind || !b.mayRepeat(j, w) {
 			return 0
 		}
-		if lack > doubt && b.warm(w) < 1 {
-			return 0
-		}
-		if w.est < j.slots-lack+wary || w.estMem < j.mem || !b.trusted(j, w) || !b.coldAllows(w, j) {
+		if lack > doubt && b.warm(w) < 1 || w.est < j.slots-lack+wary || w.estMem < j.mem ||
+			!b.trusted(j, w) || !b.coldAllows(w, j) {
 			return 0
 		}
 		return math.Pow(max(w.est, 0), power) * b.bias(w, j)
@@ -564,7 +560,7 @@
 	slow := b.slowness(w) / b.warm(w)
 	odds := b.odds(j, slow) + 0.1
 	v := odds * odds / slow * w.near
-	if w.dealt && b.warm(w) < 1 {
+	if w.dealt && b.warm(w) < 1 || w.back {
 		v *= coldTurn
 	}
 	sound := 1 - w.failing.or(0, 2)
@@ -977,19 +973,37 @@
 		b.byID[i.ID], b.order = w, append(b.order, w)
 	default:
 		if i.Started > w.Started { // a new process: what was known of the old one is void
-			w.rep.ok, w.rep.taken, w.drained = false, 0, false
-			w.down, w.probation, w.strikes, w.rest, w.failing, w.spent = false, 0, 0, 0, mean{}, nil
+			w.renew()
 		}
 		i.Started = max(i.Started, w.Started) // an old list may come again
 		w.WorkerInfo, w.goneAt = i, 0
 	}
 	w.listed = b.roster.lists
-	if b.warm(w) < 1 && !slices.Contains(b.cold, w) {
-		b.cold = append(b.cold, w)
-	}
+	b.cool(w)
 	if w.drained = w.drained || i.State != Running; w.drained && b.cfg.OnlyDrainBinds {
 		w.State = Draining
 	}
+	w.told = w.State
+	b.bar(w)
+}
+
+// maintain leaves a worker out for operators, whatever the roster says, or takes it back: started
+// anew, though the roster may not know yet. Danger: a report from before would fill a cold one,
+// and while others have room it gets nothing. So it is asked first, and is next to get a job.
+func (b *Balancer) maintain(e Maintenance) {
+	w, since := b.byID[e.Worker], b.leave(e)
+	if w == nil || e.Out == (since > 0) {
+		return
+	}
+	if b.bar(w); e.Out {
+		return
+	}
+	w.renew()
+	w.back, w.down, b.coldAt = true, b.cfg.Probes, b.now
+	if w.Started <= since {
+		w.Started = b.now
+	}
+	b.cool(w)
 }
 
 // drop takes a worker off. Where only draining binds it stays, for a list can be wrong:
--- /dev/null
+++ b/balance/maintenance_test.go
@@ -0,0 +1,182 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// touches are the sends and probes that name a worker.
+func touches(acts []Action, w string) (n int) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Send:
+			if a.Worker == w {
+				n++
+			}
+		case Probe:
+			if a.Worker == w {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A worker that operators leave out gets nothing, whatever the list says, and
+// what runs there goes on. Its jobs that have to go again go elsewhere.
+func TestLeftOutGetsNothing(t *testing.T) {
+	r := newRig(t, base(), up("w", "v")...)
+	s := of[Send](r.step(r.job("read", "a"), r.report("w", 1)))
+	if len(s) != 1 || s[0].Worker != "w" {
+		t.Fatalf("sent %v", s)
+	}
+	r.step(Maintenance{"w", true}, Maintenance{"w", true})
+	if acts := r.at(101, r.report("w", 5), r.job("read", "a")); touches(acts, "w") > 0 || len(of[Cancel](acts)) > 0 {
+		t.Errorf("%v though w is left out", acts)
+	}
+	restarted := up("w")
+	restarted[0].Started = 101
+	acts := r.at(102, RosterUpdate{Kind: RosterDelta, Workers: restarted}, done(s[0], 0, Broken), r.report("v", 2))
+	if touches(acts, "w") > 0 || len(of[Send](acts)) == 0 {
+		t.Errorf("%v: the list says active, but it is left out; its job goes elsewhere", acts)
+	}
+	// Gone and back in the list, also under a whole one, it is still left out.
+	r.step(RosterUpdate{Kind: RosterFull, Workers: up("v")})
+	acts = r.at(103, RosterUpdate{Kind: RosterFull, Workers: up("v", "w")}, r.job("read", "a"), r.job("read", "a"))
+	if touches(acts, "w") > 0 {
+		t.Errorf("%v after it left the list and came back", acts)
+	}
+	// One that no list has named yet is left out when one does.
+	r.step(Maintenance{"x", true})
+	if acts := r.at(104, RosterUpdate{Kind: RosterDelta, Workers: up("x")}, r.job("read", "a")); touches(acts, "x") > 0 {
+		t.Errorf("%v: named first by operators, then by the list", acts)
+	}
+}
+
+// Called back once, however often it was called out, a worker is cold from then
+// on, is asked before it is used, and is the next to get a job, within its budget.
+func TestTakenBack(t *testing.T) {
+	cfg := base()
+	cfg.ColdFrom, cfg.WarmAfter, cfg.FallMultiple, cfg.FallSpan = 0.5, 20, 3, 3
+	r := newRig(t, cfg, up("w", "v")...)
+	r.step(Maintenance{"w", true}, Maintenance{"w", true}, r.report("v", 9))
+	r.at(150, Maintenance{"w", false})
+	w := r.b.byID["w"]
+	if r.b.warm(w) != 0.5 {
+		t.Errorf("warm to %v right after it was called back", r.b.warm(w))
+	}
+	acts := r.at(150.1, r.job("read", "a"), r.report("v", 9))
+	probed := false
+	for _, p := range of[Probe](acts) {
+		probed = probed || p.Worker == "w"
+	}
+	for _, s := range of[Send](acts) {
+		if s.Worker == "w" {
+			t.Error("used before it was asked")
+		}
+	}
+	if !probed {
+		t.Errorf("%v: not asked for its report", acts)
+	}
+	acts = r.at(150.2, r.report("w", 2), r.report("v", 9), r.job("read", "a"), r.job("read", "a"), r.job("read", "a"))
+	if touches(acts, "w") == 0 {
+		t.Errorf("%v: it gets nothing while another has more room", acts)
+	}
+	if r.b.byID["w"].back {
+		t.Error("it stays preferred")
+	}
+	// Where the list knows a start since the ban, that one counts.
+	r.at(200, Maintenance{"v", true})
+	late := up("v")
+	late[0].Started = 201
+	r.at(205, RosterUpdate{Kind: RosterDelta, Workers: late})
+	r.at(210, Maintenance{"v", false})
+	if got := r.b.warm(r.b.byID["v"]); got < 0.7 || got > 0.75 {
+		t.Errorf("warm to %v, 9 of 20 s after its start", got)
+	}
+	// One that the list calls draining is not used when operators take it back.
+	r.at(300, Maintenance{"w", true}, RosterUpdate{Kind: RosterDelta, Workers: []WorkerInfo{{ID: "w", Zone: "here", Kind: "k", State: Draining}}})
+	if acts := r.at(301, Maintenance{"w", false}, r.job("read", "a"), r.report("w", 3)); touches(acts, "w") > 0 {
+		t.Errorf("%v to one that drains", acts)
+	}
+}
+
+// Random operators, lists, jobs and ends: nothing is ever decided for a worker
+// that is left out, and one that is not in use for another reason is used again.
+func TestMaintenanceAtRandom(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		ids := []string{"u", "v", "w"}
+		r := newRig(t, base(), up(ids...)...)
+		out, live := map[string]bool{}, []Send{}
+		tries := map[string]int{}
+		for range 400 {
+			var ev []Event
+			id := ids[rng.IntN(3)]
+			switch rng.IntN(8) {
+			case 0:
+				out[id] = true
+				ev = append(ev, Maintenance{id, true})
+			case 1:
+				out[id] = false
+				ev = append(ev, Maintenance{id, false})
+			case 2:
+				i := up(id)
+				i[0].State = []WorkerState{Running, Running, Draining, Gone}[rng.IntN(4)]
+				i[0].Started = float64(rng.IntN(2)) * r.now
+				ev = append(ev, RosterUpdate{Kind: RosterDelta, Workers: i})
+			case 3, 4, 5:
+				ev = append(ev, r.job([]string{"read", "write", "put"}[rng.IntN(3)], "a"), r.report(id, float64(rng.IntN(4))))
+			default:
+				if len(live) > 0 {
+					s := live[0]
+					live = live[1:]
+					ev = append(ev, done(s, tries[s.ID]-1, []Outcome{Served, Errored, Broken, Unreachable, Full}[rng.IntN(5)]))
+				}
+			}
+			r.now += rng.Float64() * 0.2
+			for _, a := range r.step(ev...) {
+				switch a := a.(type) {
+				case Send:
+					if tries[a.ID]++; out[a.Worker] {
+						t.Fatalf("seed %d: sent to %s, which is left out", seed, a.Worker)
+					}
+					live = append(live, a)
+				case Probe:
+					if out[a.Worker] {
+						t.Fatalf("seed %d: %s was asked, which is left out", seed, a.Worker)
+					}
+				}
+			}
+		}
+		// All is well again: every job that is out ends, and every probe is answered.
+		used := map[string]bool{}
+		play := func(acts []Action) {
+			for len(acts) > 0 {
+				a := acts[0]
+				acts = acts[1:]
+				switch a := a.(type) {
+				case Probe:
+					acts = append(acts, r.step(r.report(a.Worker, 3))...)
+				case Send:
+					used[a.Worker] = true
+					acts = append(acts, r.step(AttemptStarted{a.ID, tries[a.ID]}, done(a, tries[a.ID], Served))...)
+					tries[a.ID]++
+				}
+			}
+		}
+		for _, s := range live {
+			play(r.step(done(s, tries[s.ID]-1, Served)))
+		}
+		play(r.at(r.now+60, RosterUpdate{Kind: RosterFull, Workers: up(ids...)}, Maintenance{"u", false}, Maintenance{"v", false},
+			Maintenance{"w", false}, r.report("u", 3), r.report("v", 3), r.report("w", 3)))
+		clear(used)
+		for range 400 {
+			r.now += 0.2
+			play(r.step(r.job("read", "b")))
+		}
+		if len(used) != 3 {
+			t.Fatalf("seed %d: only %v are used when all are back", seed, used)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -92,20 +92,22 @@
 
 type worker struct {
 	WorkerInfo
-	drained     bool    // seen draining since its last start
-	listed      int     // the last list or change that named it
-	goneAt      float64 // since when the roster calls it gone or leaves it out; 0 while it is listed
-	stranger    bool    // came with a list that can be wrong, and nothing was heard of it yet
-	rank        float64 // its place in the dispatcher's order
-	est, estMem float64 // free slots and memory as estimated in this step
-	slice       float64 // what may go there while cold, as of the last look
-	turned      float64 // when its last turn of this dispatcher began; 0 if that is counted
-	dealt       bool    // while it is cold, whole jobs are dealt out in turns
-	turn        int     // the last look that took it in
-	near        float64 // how much its zone is preferred
-	lot         float64 // by which all dispatchers tell whose turn it is while cold
-	busy        float64 // slots of own attempts out
-	run, runMem float64 // what of it is in use, as far as can be told
+	told        WorkerState // by the roster, whatever operators say
+	back        bool        // taken back by operators, and no job sent since
+	drained     bool        // seen draining since its last start
+	listed      int         // the last list or change that named it
+	goneAt      float64     // since when the roster calls it gone or leaves it out; 0 while it is listed
+	stranger    bool        // came with a list that can be wrong, and nothing was heard of it yet
+	rank        float64     // its place in the dispatcher's order
+	est, estMem float64     // free slots and memory as estimated in this step
+	slice       float64     // what may go there while cold, as of the last look
+	turned      float64     // when its last turn of this dispatcher began; 0 if that is counted
+	dealt       bool        // while it is cold, whole jobs are dealt out in turns
+	turn        int         // the last look that took it in
+	near        float64     // how much its zone is preferred
+	lot         float64     // by which all dispatchers tell whose turn it is while cold
+	busy        float64     // slots of own attempts out
+	run, runMem float64     // what of it is in use, as far as can be told
 	mem         float64
 	past        []mark // own slots in use over time, oldest first
 	tries       []*attempt
@@ -177,6 +179,7 @@
 	harmless bool       // some class may be repeated
 	kinded   bool       // some class runs on one kind of worker only
 	byID     map[string]*worker
+	outs     map[string]float64 // workers that operators leave out, and since when
 	kinds    means              // running times against the fleet's
 	most     map[string]float64 // slots seen, by kind
 	zones    means              // free slots reported of late
@@ -195,15 +198,50 @@
 	}
 }
 
+// renew voids what was known of a worker's process.
+func (w *worker) renew() {
+	w.rep.ok, w.rep.taken, w.drained = false, 0, false
+	w.down, w.probation, w.strikes, w.rest, w.failing, w.spent = false, 0, 0, 0, mean{}, nil
+}
+
+// leave notes whether a worker is left out, and returns since when it was before.
+func (b *Balancer) leave(e Maintenance) (since float64) {
+	since = b.outs[e.Worker]
+	switch {
+	case !e.Out:
+		delete(b.outs, e.Worker)
+	case since == 0:
+		b.outs[e.Worker] = b.now
+	}
+	return since
+}
+
+// cool remembers a worker among those that started of late, if it did.
+func (b *Balancer) cool(w *worker) {
+	if b.warm(w) < 1 && !slices.Contains(b.cold, w) {
+		b.cold = append(b.cold, w)
+	}
+}
+
+// bar puts a worker's state into force: the roster's, or operators' who leave it out.
+func (b *Balancer) bar(w *worker) {
+	if w.State = w.told; b.outs[w.ID] > 0 {
+		w.State = Draining
+	}
+}
+
 // adopt makes the classes and tenants of the settings. What was learnt of them
-// stays, and so do tags. A class is made anew: jobs that are here hold on to the
-// one that they came with. One that is not named any more stays known, as jobs
+// stays, and so do tags. A class that changes by more than its promise is made anew:
+// jobs that are here hold on to the one that they came with. One that is not named any more stays known, as jobs
 // of it may be on their way; a tenant that is not has no reservation.
 func (b *Balancer) adopt() {
 	b.kinded, b.harmless = false, false
 	for _, c := range b.cfg.Classes {
-		n := &class{Class: c}
-		if old := b.classes[c.Name]; old != nil {
+		n, old := &class{Class: c}, b.classes[c.Name]
+		if old != nil {
+			if old.MaxWait = c.MaxWait; old.Class == c {
+				n = old
+			}
 			n.run = old.run
 			if old.Deadline == c.Deadline {
 				n.fullLeft = old.fullLeft
@@ -357,6 +395,7 @@
 		j.firstRan, j.firstAt = w, b.now
 	}
 	b.unqueue(j)
+	w.back = false
 	b.take(w, j.slots, j.mem)
 	w.tries = append(w.tries, a)
 	if b.warm(w) < 1 {
--- a/cmd/bellstream/upgrade_test.go
+++ b/cmd/bellstream/upgrade_test.go
@@ -312,3 +312,63 @@
 		}
 	}
 }
+
+// Workers that staff leave out get nothing from either process, over an upgrade,
+// a kill and a start that keeps the folder, until one call back.
+func TestBansOverUpgrades(t *testing.T) {
+	out, in, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t), wiretest.NewTarget(t)
+	conf := strings.Replace(fmt.Sprintf(config, discovery.Addr, in.Addr), strconv.Quote(in.Addr), strconv.Quote(out.Addr), 1)
+	s := newSite(t, conf)
+	old := s.start()
+	old.ready(t)
+	if a := say(t, old.control, "SUSPEND s"); a != "ok\n" {
+		t.Errorf("SUSPEND: %q", a)
+	}
+	say(t, old.control, "SUSPEND s")
+	n := 0
+	goes := func(to *wiretest.Target) {
+		t.Helper()
+		n++
+		id := fmt.Sprint("j", n)
+		c := dial(t, s.l.Addr().String())
+		defer c.Close()
+		io.WriteString(c, strings.Replace(job, "Request-Id: r", "Request-Id: "+id, 1))
+		wiretest.Get(t, to.Calls, "a job").Reply(wiretest.Lines(true, `{"id":"`+id+`","state":"done","result":"x"}`))
+		if got, _ := c.Status(t); got != 200 {
+			t.Errorf("%s got %d", id, got)
+		}
+	}
+	for range 5 {
+		goes(in)
+	}
+	next := s.start()
+	next.ready(t)
+	for range 5 {
+		goes(in)
+	}
+	old.stop(t)
+	next.Process.Kill()
+	next.Wait()
+	last := s.start()
+	last.ready(t)
+	for range 5 {
+		goes(in)
+	}
+	if len(out.Calls) > 0 {
+		t.Fatal("a worker that is left out got a job")
+	}
+	// Both out: the job waits. One back: it goes there.
+	if a := say(t, last.control, "SUSPEND u"); a != "ok\n" {
+		t.Errorf("SUSPEND: %q", a)
+	}
+	if a := say(t, last.control, "RESTORE s"); a != "ok\n" {
+		t.Errorf("RESTORE: %q", a)
+	}
+	goes(out)
+	for _, line := range []string{"RESTORE nobody", "SUSPEND"} {
+		if a := say(t, last.control, line); !strings.HasPrefix(a, "fail ") {
+			t.Errorf("%s: %q", line, a)
+		}
+	}
+	last.stop(t)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,18 +20,20 @@
 
 // The verbs.
 const (
-	Status Verb = "STATUS" // can this process serve
-	Pause  Verb = "PAUSE"  // empty the dispatcher
-	Resume Verb = "RESUME" // the end of that
+	Status  Verb = "STATUS"  // can this process serve
+	Suspend Verb = "SUSPEND" // leave a worker out
+	Restore Verb = "RESTORE" // put it back
+	Pause   Verb = "PAUSE"   // empty the dispatcher
+	Resume  Verb = "RESUME"  // the end of that
 )
 
 // takes says whether a verb takes an id.
-var takes = map[Verb]bool{Status: false, Pause: false, Resume: false}
+var takes = map[Verb]bool{Status: false, Suspend: true, Restore: true, Pause: false, Resume: false}
 
 // Call is one line, understood.
 type Call struct {
 	Verb Verb
-	ID   string // of a worker, where the verb takes one
+	ID   string // of a worker, for Suspend and Restore
 }
 
 // Parse reads a line without its end. The error is fit for the caller.
@@ -80,6 +82,8 @@
 // was asked for binds from now on. They may come from any goroutine.
 type Desk interface {
 	Status() error
+	Suspend(worker string) error
+	Restore(worker string) error
 	Pause() error
 	Resume() error
 }
@@ -89,6 +93,10 @@
 	switch c.Verb {
 	case Status:
 		return d.Status()
+	case Suspend:
+		return d.Suspend(c.ID)
+	case Restore:
+		return d.Restore(c.ID)
 	case Pause:
 		return d.Pause()
 	case Resume:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -18,11 +18,18 @@
 func (d *desk) Pause() error        { return d.note("pause") }
 func (d *desk) Resume() error       { return d.note("resume") }
 
+func (d *desk) Suspend(w string) error { return d.note("suspend " + w) }
+func (d *desk) Restore(w string) error { return d.note("restore " + w) }
+
 func TestParse(t *testing.T) {
 	for _, c := range []struct{ line, asked, err string }{
 		{"STATUS", "status", ""},
 		{" pause\t\r", "pause", ""},
 		{"Resume", "resume", ""},
+		{"SUSPEND s-1", "suspend s-1", ""},
+		{"restore\tS-1 ", "restore S-1", ""},
+		{"SUSPEND", "", "SUSPEND wants the id of a worker"},
+		{"RESTORE a b", "", "RESTORE has too many arguments"},
 		{"", "", "no command"},
 		{" \t\r", "", "no command"},
 		{"STATUS now", "", "STATUS has too many arguments"},
--- a/internal/control/door/door_test.go
+++ b/internal/control/door/door_test.go
@@ -22,6 +22,9 @@
 func (desk) Pause() error  { return nil }
 func (desk) Resume() error { return nil }
 
+func (desk) Suspend(string) error { return nil }
+func (desk) Restore(string) error { return nil }
+
 func open(t *testing.T) *Door {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,10 +10,12 @@
 	"fmt"
 	"math"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/handover"
 	"example.org/bellstream/internal/ingress"
 	"example.org/bellstream/internal/logging"
 	"example.org/bellstream/internal/route"
@@ -74,6 +76,7 @@
 	Watch     func(ctx context.Context, discovery string, seq int64, each func(*route.Update)) error
 	Egress    Egress
 	Phases    *Phases
+	Operated  bool            // operators may name workers
 	Counter   Counter         // nil: nobody counts
 	Waiting   *waiting.Store  // jobs that wait for others or for a time; nil: none may
 	Depths    *waiting.Depths // what waits, by class and tenant; nil: nobody looks
@@ -91,6 +94,9 @@
 
 	posts  chan any
 	nudges chan struct{} // operators have commanded something
+	shared atomic.Pointer[handover.Shared]
+	names  atomic.Pointer[map[string]bool] // the targets that are known, where operators may name one
+	listed atomic.Bool                     // discovery itself has told of them
 	done   chan struct{}
 
 	// The loop's own.
@@ -102,10 +108,11 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	ended   float64 // when the stop came
-	retired float64 // until when clients keep their connections after it
-	paused  float64 // since when operators have it empty; 0: they don't
-	yields  bool    // to a newer process
+	ended   float64         // when the stop came
+	retired float64         // until when clients keep their connections after it
+	paused  float64         // since when operators have it empty; 0: they don't
+	yields  bool            // to a newer process
+	outs    map[string]bool // workers that the module was told are left out
 	// coldPart is how much of its part of cold workers' budgets this process uses.
 	coldPart float64
 	looker   *wheel.Timer[any] // the next look at idle connections
@@ -188,6 +195,7 @@
 		return nil, err
 	}
 	d.wheel = wheel.New[any](fineTick(o.Settings.Rules.GraceToAnswer), d.clock())
+	d.shared.Store(&handover.Shared{})
 	d.recent = newRecent(0, d.clock())
 	d.measure()
 	if len(o.Known) > 0 {
@@ -200,6 +208,7 @@
 		r.Kind = balance.RosterSaved
 		d.events = append(d.events, r)
 	}
+	d.name()
 	return d, nil
 }
 
@@ -596,7 +605,8 @@
 		return
 	}
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
-		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields()}
+		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields(),
+		Barred: func() bool { return d.shared.Load().IsOut(a.Worker) }}
 	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
 }
 
@@ -632,6 +642,8 @@
 		d.Egress.Forget(addr)
 	}
 	d.events = append(d.events, p.up.Roster())
+	d.listed.Store(true)
+	d.name()
 }
 
 // finished moves the phases on and says whether the loop is over.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -40,6 +40,8 @@
 	ran     float64       // hops that were started and not proved unrun
 	counted counterModel
 	closed  int // looks at idle connections
+	forgot  []string
+	orders  []*egress.Order
 }
 
 // counterModel adds up what the loop counts.
@@ -111,13 +113,14 @@
 	h := &hopModel{j: j, tell: tell}
 	j.out, j.hops, r.out = h, j.hops+1, append(r.out, h)
 	r.ran++
+	r.orders = append(r.orders, o)
 	return h
 }
 
 func (r *rig) Probe(addr string, fields []string, tell func(egress.News)) {
 	r.probes = append(r.probes, tell)
 }
-func (r *rig) Forget(string)           {}
+func (r *rig) Forget(addr string)      { r.forgot = append(r.forgot, addr) }
 func (r *rig) Sweep()                  {}
 func (r *rig) Taken() int              { return 0 }
 func (r *rig) Open() int               { return 0 }
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"example.org/bellstream/balance"
@@ -36,6 +38,7 @@
 // process leads or yields to a newer one. It binds when it returns, whatever
 // the loop is at. Calls must not overlap.
 func (d *Dispatcher) Adopt(s *handover.Shared, leads bool) {
+	d.shared.Store(s)
 	d.Phases.Yield(!leads)
 	if s.Paused {
 		d.Phases.Enter(Paused)
@@ -45,6 +48,49 @@
 	d.nudge()
 }
 
+// Knows says whether a worker is known here. Until discovery has told of any
+// (listed is false) one that is not may be.
+func (d *Dispatcher) Knows(worker string) (known, listed bool) {
+	listed = d.listed.Load()
+	names := d.names.Load()
+	return names != nil && (*names)[worker], listed
+}
+
+// name publishes which targets are known.
+func (d *Dispatcher) name() {
+	if d.Operated {
+		names := d.table.Names()
+		d.names.Store(&names)
+	}
+}
+
+// maintain tells the module which workers are left out now. Idle connections to
+// them go: the process behind them is about to.
+func (d *Dispatcher) maintain() {
+	out := d.shared.Load().Out
+	for w := range d.outs {
+		if _, is := out[w]; !is {
+			delete(d.outs, w)
+			d.Log("worker %s is back in, by operators' word", w)
+			d.events = append(d.events, balance.Maintenance{Worker: w})
+		}
+	}
+	for _, w := range slices.Sorted(maps.Keys(out)) {
+		if d.outs[w] {
+			continue
+		}
+		if d.outs == nil {
+			d.outs = map[string]bool{}
+		}
+		d.outs[w] = true
+		d.Log("worker %s is left out, by operators' word", w)
+		d.events = append(d.events, balance.Maintenance{Worker: w, Out: true})
+		if addr, ok := d.table.Dial(w); ok {
+			d.Egress.Forget(addr)
+		}
+	}
+}
+
 // nudge has the loop look at what operators commanded. It never waits: a
 // command binds by itself, and one look sees all of them.
 func (d *Dispatcher) nudge() {
@@ -68,6 +114,7 @@
 			d.Log("resumed after a pause")
 		}
 	}
+	d.maintain()
 	switch yields := d.Phases.Yields(); {
 	case yields && !d.yields:
 		d.yields = true
--- a/internal/dispatcher/operate_test.go
+++ b/internal/dispatcher/operate_test.go
@@ -9,6 +9,7 @@
 	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/egress"
 	"example.org/bellstream/internal/handover"
+	"example.org/bellstream/internal/route"
 	"example.org/bellstream/internal/wiretest"
 )
 
@@ -151,3 +152,90 @@
 		t.Errorf("phase %v: not resumed", p.Now())
 	}
 }
+
+// A ban binds when Adopt returns, before the loop has heard of it: the hop
+// that is under way asks for itself. The module hears of each change once.
+func TestBans(t *testing.T) {
+	r := newRig(t)
+	r.Operated = true
+	r.name()
+	a := r.runs("a", "safe")
+	if known, listed := r.Knows("a"); !known || listed {
+		t.Errorf("known %v, listed %v before any list", known, listed)
+	}
+	if known, _ := r.Knows("z"); known {
+		t.Error("an id that nobody named is known")
+	}
+	s, _ := (&handover.Shared{}).Suspend("a", 1)
+	s, _ = s.Suspend("b", 1)
+	r.Adopt(s, true)
+	if !r.orders[0].Barred() {
+		t.Error("a hop that is under way may still write")
+	}
+	r.events = nil
+	r.operate()
+	r.operate()
+	if got := len(r.events); got != 2 || len(r.forgot) != 2 {
+		t.Errorf("%d events for two bans, connections to %v closed", got, r.forgot)
+	}
+	// All are left out: what comes is answered in its time, and nothing is sent.
+	b := r.arrive("b", "safe", time.Second)
+	hops := len(r.out)
+	r.pass(1100 * time.Millisecond)
+	if len(b.answers) != 1 || len(r.out) != hops || len(a.answers) > 0 {
+		t.Errorf("answers %v, %d hops while all workers are left out; the one under way got %v", b.answers, len(r.out)-hops, a.answers)
+	}
+	r.Adopt(s.Restore("a"), true)
+	if r.shared.Load().IsOut("a") || !r.shared.Load().IsOut("b") {
+		t.Errorf("%+v after one was taken back", r.shared.Load())
+	}
+	r.operate()
+	if len(r.outs) != 1 || !r.outs["b"] {
+		t.Errorf("%v are out after one was taken back", r.outs)
+	}
+	r.take(routeNews{watch: r.watchNo, up: &route.Update{Seq: 2, Entries: []route.Entry{{WorkerInfo: balance.WorkerInfo{ID: "z", State: balance.Running}, Dial: "1:3"}}}})
+	if known, listed := r.Knows("z"); !known || !listed {
+		t.Error("a listed worker is not known")
+	}
+}
+
+// An upgrade as the loop sees it: yielding it closes idle connections after a
+// while, uses no cold worker, and goes back to all of it when it leads again.
+func TestYield(t *testing.T) {
+	r := newRig(t)
+	r.Settings.Rules.Fall = 3
+	none := &handover.Shared{}
+	r.Adopt(none, false)
+	if r.Status() == nil || !r.Phases.Ready() || !r.Phases.Ending() {
+		t.Errorf("status %v, ready %v, ending %v while it yields", r.Status(), r.Phases.Ready(), r.Phases.Ending())
+	}
+	r.pass(900 * time.Millisecond)
+	if r.closed > 0 || r.coldPart != coldNone {
+		t.Errorf("%d looks at idle connections, cold part %v", r.closed, r.coldPart)
+	}
+	r.pass(200 * time.Millisecond)
+	if r.closed == 0 {
+		t.Error("idle connections stay")
+	}
+	r.Adopt(none, true)
+	r.pass(8 * time.Millisecond)
+	closed := r.closed
+	if r.Status() != nil || r.Phases.Ending() || r.coldPart != coldOverlap {
+		t.Errorf("status %v, ending %v, cold part %v when it leads again", r.Status(), r.Phases.Ending(), r.coldPart)
+	}
+	r.pass(100 * time.Millisecond)
+	if r.closed != closed || r.coldPart != coldOverlap {
+		t.Errorf("%d looks, cold part %v", r.closed-closed, r.coldPart)
+	}
+	if r.pass(3 * time.Second); r.coldPart != 1 {
+		t.Errorf("cold part %v when what the other sent no longer counts", r.coldPart)
+	}
+	// Told to stop while it yields, it still says yes for the dispatcher, and goes at once.
+	r.Adopt(none, false)
+	r.pass(8 * time.Millisecond)
+	r.take(stop{})
+	r.pass(60 * time.Millisecond)
+	if r.Phases.Now() != Draining || !r.Phases.Ready() || r.closed == closed {
+		t.Errorf("phase %v, ready %v, %d looks after a stop", r.Phases.Now(), r.Phases.Ready(), r.closed-closed)
+	}
+}
--- a/internal/dispatcher/wait.go
+++ b/internal/dispatcher/wait.go
@@ -152,9 +152,9 @@
 		} else if now != d.Ageing[l.Name] {
 			d.Log("reload: class %s: no longest wait is promised any more", l.Name)
 		}
-		d.events = append(d.events, balance.Ageing{Class: l.Name, MaxWait: waits[l.Name]})
 	}
 	d.Ageing = waits
+	d.events = append(d.events, balance.Retune{Config: d.config()})
 }
 
 // Limits has other limits count for jobs that come to wait from now on.
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -333,3 +333,34 @@
 	h.Abandon()
 	wiretest.Until(t, "the place to be free again", func() bool { _, open := p.counts(); return open == 0 })
 }
+
+// A target that operators leave out between dial and first byte gets no byte,
+// neither on a connection used before nor on the new one that replaces it, and
+// the job counts as never run.
+func TestBarredHopNeverRan(t *testing.T) {
+	target := wiretest.NewTarget(t)
+	p := newPool()
+	hop := func(barred func() bool) News {
+		o, news := order(), make(chan News, 8)
+		o.Barred = barred
+		p.Start(o, target.Addr, func(n News) { news <- n })
+		return outcome(t, news)
+	}
+	served := make(chan News, 1)
+	go func() { served <- hop(func() bool { return false }) }()
+	wiretest.Get(t, target.Calls, "a hop that is not barred").Reply(wiretest.Lines(true, done))
+	if n := wiretest.Get(t, served, "its outcome"); n.Outcome != balance.Served {
+		t.Fatalf("got %+v", n)
+	}
+	wiretest.Until(t, "the connection back", func() bool { idle, _ := p.counts(); return idle == 1 })
+	for range 2 { // on the one in reserve, then on a new one
+		if n := hop(func() bool { return true }); n.Outcome != balance.Unreachable || n.again {
+			t.Errorf("got %+v", n)
+		}
+	}
+	wiretest.Get(t, target.Ends, "the first connection's end")
+	wiretest.Get(t, target.Ends, "the second connection's end")
+	if idle, open := p.counts(); len(target.Calls) > 0 || idle != 0 || open != 0 {
+		t.Errorf("%d requests arrived, %d connections idle, %d open", len(target.Calls), idle, open)
+	}
+}
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -35,6 +35,9 @@
 	Body            []byte
 	Deadline        time.Time // when the client gives up
 	Fields          []string  // names of the figures in a load report, in order
+	// Barred says that nothing may reach the target any more; nil: it never is.
+	// It is asked right before the first byte, from the hop's goroutine.
+	Barred func() bool
 }
 
 // News is what a hop tells: that the job has started (Outcome is empty), or
@@ -187,6 +190,9 @@
 // play sends the request and reads up to the outcome. Clean says that the
 // connection stands right behind the last line.
 func (o *Order) play(c *conn, by time.Time, tell func(News)) (end News, clean bool) {
+	if o.Barred != nil && o.Barred() {
+		return News{Outcome: balance.Unreachable, Why: "left out by operators while the hop was under way"}, false
+	}
 	c.SetWriteDeadline(by.Add(late))
 	msg := o.head(c.addr)
 	// Until the last byte is written the job cannot have run; from then on it may have.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -85,6 +85,15 @@
 	return n
 }
 
+// Names are the targets that can be dialled.
+func (t *Table) Names() map[string]bool {
+	all := make(map[string]bool, len(t.targets))
+	for host := range t.targets {
+		all[host] = true
+	}
+	return all
+}
+
 // Dial returns the address of a target, or false for one never listed.
 func (t *Table) Dial(host string) (string, bool) {
 	if x := t.targets[host]; x != nil {
--- a/internal/service/overlap.go
+++ b/internal/service/overlap.go
@@ -154,6 +154,32 @@
 // Resume ends that.
 func (o *overlap) Resume() error { return o.pause(false) }
 
+// Suspend leaves a worker out. One that is not known yet as no list has come is
+// left out all the same, for the ban binds whatever was answered.
+func (o *overlap) Suspend(worker string) error {
+	known, listed := o.loop.Knows(worker)
+	if !known && listed {
+		return fmt.Errorf("unknown worker %q", worker)
+	}
+	now := float64(time.Now().UnixMilli()) / 1000
+	err := o.change(func(s *handover.Shared) (*handover.Shared, error) { return s.Suspend(worker, now) })
+	if err == nil && !known {
+		return fmt.Errorf("unknown worker %q; discovery has not told of any yet, and if it names this one it is left out", worker)
+	}
+	return err
+}
+
+// Restore takes a worker back, however often it was left out.
+func (o *overlap) Restore(worker string) error {
+	known, _ := o.loop.Knows(worker)
+	return o.change(func(s *handover.Shared) (*handover.Shared, error) {
+		if !known && !s.IsOut(worker) {
+			return nil, fmt.Errorf("unknown worker %q", worker)
+		}
+		return s.Restore(worker), nil
+	})
+}
+
 func (o *overlap) pause(on bool) error {
 	if p := o.run.phases.Now(); p >= dispatcher.Retiring {
 		return fmt.Errorf("%s", p)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -73,6 +73,7 @@
 	pool := &egress.Pool{Max: out, Dial: dial, Keep: keep, Now: time.Now}
 	o := dispatcher.Options{Settings: s, Seed: conf.Seed, Known: conf.Known, Egress: pool, Phases: &dispatcher.Phases{},
 		Log: logf, Now: time.Now, Discovery: conf.Discovery, Watch: route.Watch}
+	o.Operated = conf.Control != ""
 	parts, err := build(op, conf, log, &o)
 	if err != nil {
 		return err
