Cause the hard cases of daily operation in tests; ids that are not UTF-8 are refused

Found by fuzzing the shared file: an id that is not UTF-8 came back as another one, so its ban would not have held over an upgrade. The control address and the file refuse such ids now.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 	go test -run '^$$' -fuzz FuzzHops -fuzztime $(FUZZTIME) ./internal/egress
 	go test -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZTIME) ./internal/dispatcher
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/route
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/control
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/handover
+	go test -run '^$$' -fuzz FuzzPhases -fuzztime $(FUZZTIME) ./internal/dispatcher
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./internal/peers/wire
 
 lint:
--- a/balance/maintenance_test.go
+++ b/balance/maintenance_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// One that the list has taken off can be taken back: it is used when a list names it again.
+func TestTakenBackWhileGone(t *testing.T) {
+	r := newRig(t, base(), up("w", "v")...)
+	r.step(Maintenance{"w", true}, RosterUpdate{Kind: RosterFull, Workers: up("v")})
+	if acts := r.at(110, Maintenance{"w", false}, r.job("read", "a"), r.report("v", 0)); touches(acts, "w") > 0 {
+		t.Errorf("%v to one that is gone", acts)
+	}
+	acts := r.at(120, RosterUpdate{Kind: RosterFull, Workers: up("v", "w")}, r.job("read", "a"), r.report("w", 2))
+	if touches(acts, "w") == 0 {
+		t.Errorf("%v: back in the list and in use, it gets nothing", acts)
+	}
+}
+
 // Random operators, lists, jobs and ends: nothing is ever decided for a worker
 // that is left out, and one that is not in use for another reason is used again.
 func TestMaintenanceAtRandom(t *testing.T) {
--- a/balance/retune_test.go
+++ b/balance/retune_test.go
@@ -68,3 +68,20 @@
 		t.Errorf("learnt of its class: %+v", c)
 	}
 }
+
+// A class vanishes while a job of it waits to go again: the job keeps what it came with.
+func TestClassGoneWhileItsJobWaits(t *testing.T) {
+	r := newRig(t, base(), up("w")...)
+	s := of[Send](r.step(r.job("write", "a"), r.report("w", 1)))
+	r.at(101, done(s[0], 0, Full)) // it never ran, and waits for room
+	next := base()
+	next.Classes = next.Classes[:1]
+	r.step(Retune{next})
+	again := of[Send](r.at(102, r.report("w", 2)))
+	if len(again) != 1 || again[0].ID != s[0].ID {
+		t.Fatalf("sent %v, want the job of the class that is gone", again)
+	}
+	if acts := r.at(103, done(again[0], 1, Broken), r.report("w", 2)); len(of[Fail](acts)) != 1 || len(of[Send](acts)) > 0 {
+		t.Errorf("%v: it may not run twice", acts)
+	}
+}
--- a/cmd/bellstream/control_test.go
+++ b/cmd/bellstream/control_test.go
@@ -37,6 +37,8 @@
 func TestPauseAndResume(t *testing.T) {
 	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
 	cmd, log := program(t, strings.Replace(fmt.Sprintf(config, discovery.Addr, target.Addr), `"listen"`, `"control":"127.0.0.1:0","listen"`, 1))
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "RELAY_CONFIG=")
+	const broken = `{"listen":"127.0.0.1:0"`
 	control := logged(t, log, "control listens on ")
 	addr := logged(t, log, "dispatcher n listens on ")
 	logged(t, log, "serving")
@@ -55,6 +57,18 @@
 	if s := asked(t, dial(t, addr)); s != 503 {
 		t.Errorf("health %d right after PAUSE", s)
 	}
+	// Half a request that was read when the pause came is served, and closes.
+	half := dial(t, addr)
+	io.WriteString(half, strings.Replace(job, "Request-Id: r", "Request-Id: h", 1)[:40])
+	write(t, path, broken)
+	cmd.Process.Signal(syscall.SIGHUP) // in a pause a reload is as ever
+	logged(t, log, "the old configuration stays in force")
+	io.WriteString(half, strings.Replace(job, "Request-Id: r", "Request-Id: h", 1)[40:])
+	wiretest.Get(t, target.Calls, "the job in two halves").Reply(wiretest.Lines(true, `{"id":"h","state":"done","result":"two"}`))
+	if got, body := half.Status(t); got != 200 || body != "two" {
+		t.Errorf("got %d %q", got, body)
+	}
+	half.Ended(t)
 	idle.Ended(t)
 	if a := say(t, control, "STATUS"); a != "fail paused\n" {
 		t.Errorf("STATUS while paused: %q", a)
@@ -71,6 +85,13 @@
 	if s := asked(t, dial(t, addr)); s != 200 {
 		t.Errorf("health %d after RESUME", s)
 	}
+	// All at once, and twice: the last word counts.
+	say(t, control, "PAUSE")
+	cmd.Process.Signal(syscall.SIGHUP)
+	say(t, control, "RESUME")
+	say(t, control, "PAUSE")
+	say(t, control, "RESUME")
+	wiretest.Until(t, "the end of the second pause", func() bool { return say(t, control, "STATUS") == "ok\n" })
 	cmd.Process.Signal(syscall.SIGTERM)
 	io.Copy(io.Discard, log)
 	if err := cmd.Wait(); err != nil {
@@ -119,6 +140,13 @@
 	}
 	wiretest.Until(t, "the new class", func() bool { return post("d", fmt.Sprint("d", time.Now().UnixNano())) == 200 })
 	wiretest.Until(t, "the old class's end", func() bool { return post("c", fmt.Sprint("c", time.Now().UnixNano())) == 404 })
+	// A broken file after a good one leaves the good one in force.
+	write(t, path, strings.Replace(good, `"name":"c"`, `"name":"e"`, 1)[:300])
+	cmd.Process.Signal(syscall.SIGHUP)
+	logged(t, log, "the old configuration stays in force")
+	if got := post("d", "late"); got != 200 {
+		t.Errorf("the class of the good file got %d after a broken one", got)
+	}
 	call.Reply(wiretest.Lines(true, `{"id":"r","state":"done","result":"one"}`))
 	if got, body := client.Status(t); got != 200 || body != "one" {
 		t.Errorf("the job of the class that vanished got %d %q", got, body)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"unicode/utf8"
 )
 
 // MaxLine is the longest line, in bytes, without its end.
@@ -44,6 +45,9 @@
 	if i := bytes.IndexFunc(line, func(r rune) bool { return r != '\t' && r != '\r' && r < ' ' || r == 0x7f }); i >= 0 {
 		return Call{}, fmt.Errorf("byte %d of the line is a control character", i+1)
 	}
+	if !utf8.Valid(line) {
+		return Call{}, fmt.Errorf("the line is not UTF-8")
+	}
 	words := strings.FieldsFunc(string(line), func(r rune) bool { return r == ' ' || r == '\t' || r == '\r' })
 	if len(words) == 0 {
 		return Call{}, fmt.Errorf("no command")
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -36,6 +36,7 @@
 		{"HALT", "", `unknown command "HALT"`},
 		{strings.Repeat("x", 200), "", "unknown command"},
 		{strings.Repeat(" ", MaxLine+1), "", "over 512 bytes"},
+		{"SUSPEND s\xff", "", "not UTF-8"},
 		{"STATUS\x00", "", "byte 7 of the line is a control character"},
 	} {
 		d := &desk{}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -606,7 +606,7 @@
 	}
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
 		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields(),
-		Barred: func() bool { return d.shared.Load().IsOut(a.Worker) }}
+		Barred: func() bool { return d.Out(a.Worker) }}
 	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
 }
 
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -56,6 +56,9 @@
 	return names != nil && (*names)[worker], listed
 }
 
+// Out says that operators leave a worker out, as hops see it.
+func (d *Dispatcher) Out(worker string) bool { return d.shared.Load().IsOut(worker) }
+
 // name publishes which targets are known.
 func (d *Dispatcher) name() {
 	if d.Operated {
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -364,3 +364,20 @@
 		t.Errorf("%d requests arrived, %d connections idle, %d open", len(target.Calls), idle, open)
 	}
 }
+
+// A target's answer may come cut at any byte, inside a chunk's length too.
+func TestAnswerCutAnywhere(t *testing.T) {
+	target := wiretest.NewTarget(t)
+	p := newPool()
+	whole := wiretest.Lines(true, started, running, done)
+	for cut := 1; cut < len(whole); cut++ {
+		news := make(chan News, 8)
+		p.Start(order(), target.Addr, func(n News) { news <- n })
+		call := wiretest.Get(t, target.Calls, "the hop")
+		call.Reply(whole[:cut])
+		call.Reply(whole[cut:])
+		if n := outcome(t, news); n.Outcome != balance.Served || string(n.Result) != "ok" || len(n.Report) != 2 {
+			t.Fatalf("cut at %d: %+v", cut, n)
+		}
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"unicode/utf8"
 
 	"github.com/tidwall/gjson"
 )
@@ -93,7 +94,7 @@
 	s := &Shared{Out: map[string]float64{}, Paused: paused.Bool()}
 	var err error
 	out.ForEach(func(id, since gjson.Result) bool {
-		if id.String() == "" || since.Type != gjson.Number || len(s.Out) >= MostOut {
+		if id.String() == "" || !utf8.ValidString(id.String()) || since.Type != gjson.Number || len(s.Out) >= MostOut {
 			err = fmt.Errorf("out: %q is no worker with a time, or there are too many", id.String())
 			return false
 		}
--- a/internal/ingress/request_test.go
+++ b/internal/ingress/request_test.go
@@ -58,3 +58,23 @@
 		t.Errorf("%d classes are known", len(*s.classes.Load()))
 	}
 }
+
+// A client's request may come cut at any byte; each cut is the same request.
+func TestRequestCutAnywhere(t *testing.T) {
+	_, d, l := start(t, 8)
+	c := l.Dial()
+	defer c.Close()
+	whole := job("id")
+	for cut := 1; cut < len(whole); cut++ {
+		io.WriteString(c, whole[:cut])
+		io.WriteString(c, whole[cut:])
+		r := wiretest.Get(t, d.arrivals, "a request in two parts")
+		if r.ID != "id" || r.Class != "safe" || string(r.Body) != "body" || r.Slots != 2 || r.Timeout != 480*time.Millisecond {
+			t.Fatalf("cut at %d: %+v", cut, r)
+		}
+		r.Answer(Answer{Status: 200, Body: []byte("ok")})
+		if got, body := c.Status(t); got != 200 || body != "ok" {
+			t.Fatalf("cut at %d: got %d %q", cut, got, body)
+		}
+	}
+}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -118,3 +118,22 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Discovery's lines may come cut at any byte.
+func TestWatchCutAnywhere(t *testing.T) {
+	raw := wiretest.Lines(true, whole, "", change)
+	for cut := 1; cut < len(raw); cut++ {
+		d := wiretest.NewTarget(t)
+		end := make(chan error, 1)
+		var seqs []int64
+		go func() {
+			end <- Watch(context.Background(), d.Addr, 40, func(u *Update) { seqs = append(seqs, u.Seq) })
+		}()
+		call := wiretest.Get(t, d.Calls, "a watch")
+		call.Reply(raw[:cut])
+		call.Reply(raw[cut:])
+		if err := wiretest.Get(t, end, "the watch's end"); len(seqs) != 2 {
+			t.Fatalf("cut at %d: updates %v, %v", cut, seqs, err)
+		}
+	}
+}
--- a/internal/service/overlap.go
+++ b/internal/service/overlap.go
@@ -16,7 +16,8 @@
 	"example.org/bellstream/internal/settings"
 )
 
-// How often a process looks for others, until it is ready and then.
+// How often a process looks for others: until it is ready, and while there are
+// some; and else.
 const (
 	lookSoon = 5 * time.Millisecond
 	lookOn   = 50 * time.Millisecond
@@ -90,24 +91,30 @@
 // watch looks for changes until the end.
 func (o *overlap) watch() {
 	defer o.wg.Done()
-	every := time.NewTicker(lookSoon)
-	defer every.Stop()
-	soon := true
+	next := time.NewTimer(lookSoon)
+	defer next.Stop()
 	for {
 		select {
 		case <-o.done:
 			return
-		case <-every.C:
+		case <-next.C:
 		}
-		switch p := o.run.phases.Now(); {
-		case p >= dispatcher.Retiring:
+		p := o.run.phases.Now()
+		if p >= dispatcher.Retiring {
 			o.member.Tell(handover.Leaving)
-		case p > dispatcher.Starting && soon:
+		} else if p > dispatcher.Starting {
 			o.member.Tell(handover.Ready)
-			every.Reset(lookOn)
-			soon = false
 		}
-		o.member.Look(o.adopt)
+		others := 0
+		o.member.Look(func(v dir.View) {
+			o.adopt(v)
+			others = v.Others
+		})
+		if p == dispatcher.Starting || others > 0 {
+			next.Reset(lookSoon)
+		} else {
+			next.Reset(lookOn)
+		}
 	}
 }
 
