Have the processes of an upgrade tell each other which ids they took

Nothing kept it from that. Off while a process is alone. Test without the bench: two processes' parts in one test, ids taken before the overlap, in it, and the other way round; half a line, and a process that was killed.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -96,6 +97,7 @@
 	nudges chan struct{} // operators have commanded something
 	shared atomic.Pointer[handover.Shared]
 	names  atomic.Pointer[map[string]bool] // the targets that are known, where operators may name one
+	idsTo  atomic.Pointer[func([]string)]  // who is told of ids that are taken; nil: nobody
 	listed atomic.Bool                     // discovery itself has told of them
 	done   chan struct{}
 
@@ -112,6 +114,7 @@
 	retired float64         // until when clients keep their connections after it
 	paused  float64         // since when operators have it empty; 0: they don't
 	yields  bool            // to a newer process
+	noteIDs *func([]string) // idsTo as the loop follows it
 	outs    map[string]bool // workers that the module was told are left out
 	// coldPart is how much of its part of cold workers' budgets this process uses.
 	coldPart float64
@@ -170,6 +173,7 @@
 	limits   struct{ of waiting.Limits }
 	ageing   struct{ waits map[string]float64 }
 	reading  struct{ to chan Figures }
+	seen     struct{ ids []string }
 	retuned  struct{ to *settings.Settings }
 	stop     struct{}
 	redirect struct{ discovery string }
@@ -400,6 +404,10 @@
 		p.to <- d.figures()
 	case ageing:
 		d.age(p.waits)
+	case seen:
+		for _, id := range p.ids {
+			d.recent.add(id, d.clock())
+		}
 	case retuned:
 		d.retune(p.to)
 	case shared:
@@ -436,6 +444,9 @@
 		r.Answer(ingress.Answer{Status: http.StatusConflict, Body: []byte("this Request-Id was used before\n")})
 		return
 	}
+	if d.noteIDs != nil {
+		(*d.noteIDs)([]string{strings.Clone(r.ID)})
+	}
 	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout))}
 	if !d.admit(h) {
 		return
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -48,6 +48,25 @@
 	d.nudge()
 }
 
+// ShareIDs has the ids of all requests that were taken of late, and of those
+// that come, handed to a function, which must not block; nil ends that. Another
+// process of this dispatcher is to turn them away.
+func (d *Dispatcher) ShareIDs(to func(ids []string)) {
+	if to == nil {
+		d.idsTo.Store(nil)
+	} else {
+		d.idsTo.Store(&to)
+	}
+	d.nudge()
+}
+
+// Seen tells of ids that another process has taken.
+func (d *Dispatcher) Seen(ids []string) {
+	if len(ids) > 0 {
+		d.post(seen{ids})
+	}
+}
+
 // Knows says whether a worker is known here. Until discovery has told of any
 // (listed is false) one that is not may be.
 func (d *Dispatcher) Knows(worker string) (known, listed bool) {
@@ -118,6 +137,11 @@
 		}
 	}
 	d.maintain()
+	if to := d.idsTo.Load(); to != d.noteIDs {
+		if d.noteIDs = to; to != nil {
+			(*to)(d.recent.all())
+		}
+	}
 	switch yields := d.Phases.Yields(); {
 	case yields && !d.yields:
 		d.yields = true
--- a/internal/dispatcher/recent.go
+++ b/internal/dispatcher/recent.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "strings"
+import (
+	"maps"
+	"slices"
+	"strings"
+)
 
 // recentMost bounds how many ids one generation remembers: some 1 MB in all.
 const recentMost = 8192
@@ -18,6 +22,11 @@
 	return &recent{span: span, now: map[string]bool{}, old: map[string]bool{}, turned: at}
 }
 
+// all are the ids that are remembered.
+func (r *recent) all() []string {
+	return slices.AppendSeq(slices.Collect(maps.Keys(r.old)), maps.Keys(r.now))
+}
+
 // add remembers an id, and is false where it was there already.
 func (r *recent) add(id string, at float64) bool {
 	if at > r.turned+r.span || len(r.now) >= recentMost {
--- a/internal/handover/dir/dir.go
+++ b/internal/handover/dir/dir.go
@@ -3,6 +3,7 @@
 package dir
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -24,6 +25,8 @@
 	sharedName = "shared"
 	lockName   = "lock"
 	prefix     = "process-"
+	idsPrefix  = "ids-"
+	maxRead    = 1 << 20 // of another's ids at one time
 	lockWait   = 300 * time.Millisecond
 	settled    = time.Second // after a change the folder is read anew for so long: its time is coarse
 	maxShared  = 1 << 20
@@ -40,6 +43,8 @@
 	state   handover.State
 	shared  *handover.Shared
 	living  []handover.Process // the others, too
+	ids     *os.File           // where ids are noted, once there are some
+	taken   map[uint64]int64   // how far the others' were read
 	changed time.Time          // the folder's time when it was last read
 	read    time.Time          // when a change was last seen
 	said    string             // the last complaint, so that it is made once
@@ -64,7 +69,7 @@
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, err
 	}
-	m := &Member{path: path, log: log, state: handover.Starting, shared: &handover.Shared{}}
+	m := &Member{path: path, log: log, state: handover.Starting, shared: &handover.Shared{}, taken: map[uint64]int64{}}
 	unlock, err := m.lock()
 	if err != nil {
 		return nil, err
@@ -112,6 +117,51 @@
 	return filepath.Join(m.path, prefix+strconv.FormatUint(no, 10))
 }
 
+func (m *Member) idsFile(no uint64) string {
+	return filepath.Join(m.path, idsPrefix+strconv.FormatUint(no, 10))
+}
+
+// Note tells the others of ids that this process has taken.
+func (m *Member) Note(ids []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(ids) == 0 || m.own == nil {
+		return
+	}
+	var err error
+	if m.ids == nil {
+		m.ids, err = os.OpenFile(m.idsFile(m.no), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	}
+	if err == nil {
+		_, err = m.ids.WriteString(strings.Join(ids, "\n") + "\n")
+	}
+	m.complain("note ids", err)
+}
+
+// Noted returns the ids that others have taken since it was last asked. It is
+// to be asked before Look, which lets go of what a dead process left.
+func (m *Member) Noted() (ids []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.living {
+		if p.No == m.no {
+			continue
+		}
+		f, err := os.Open(m.idsFile(p.No))
+		if err != nil {
+			continue // it has noted none
+		}
+		raw := make([]byte, maxRead)
+		n, _ := f.ReadAt(raw, m.taken[p.No])
+		f.Close()
+		end := bytes.LastIndexByte(raw[:n], '\n') + 1 // half a line is read when it is whole
+		if m.taken[p.No] += int64(end); end > 0 {
+			ids = append(ids, strings.Split(string(raw[:end-1]), "\n")...)
+		}
+	}
+	return ids
+}
+
 // files are the numbers of the processes that have a file.
 func (m *Member) files() map[uint64]bool {
 	all := map[uint64]bool{}
@@ -199,6 +249,7 @@
 		if is, err := f.Stat(); err == nil {
 			if there, err := os.Stat(m.file(no)); err == nil && os.SameFile(is, there) {
 				os.Remove(m.file(no))
+				os.Remove(m.idsFile(no))
 				return "", false
 			}
 		}
@@ -302,6 +353,10 @@
 	defer m.mu.Unlock()
 	if m.own != nil {
 		os.Remove(m.file(m.no))
+		if m.ids != nil {
+			m.ids.Close()
+			os.Remove(m.idsFile(m.no))
+		}
 		m.own.Close()
 		m.own = nil
 	}
--- a/internal/handover/dir/dir_test.go
+++ b/internal/handover/dir/dir_test.go
@@ -121,6 +121,46 @@
 	leads("a")
 }
 
+// Ids that one process takes are told to the others once each, whole, and for as
+// long as it lives.
+func TestIDs(t *testing.T) {
+	r := newRig(t)
+	a, b := r.join(), r.join()
+	look(a)
+	got := func(m *Member) string { return strings.Join(m.Noted(), " ") }
+	if s := got(b); s != "" {
+		t.Errorf("before there are any: %q", s)
+	}
+	a.Note([]string{"x", "y"})
+	a.Note(nil)
+	if s := got(b); s != "x y" || got(b) != "" || got(a) != "" {
+		t.Errorf("got %q, then the same again, or one's own", s)
+	}
+	f, err := os.OpenFile(a.idsFile(a.no), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	f.WriteString("half")
+	if s := got(b); s != "" {
+		t.Errorf("half a line: %q", s)
+	}
+	f.WriteString(" an id\nz\n")
+	if s := got(b); s != "half an id z" {
+		t.Errorf("got %q", s)
+	}
+	a.Note([]string{"last"})
+	a.own.Close() // killed
+	a.own = nil
+	if s := got(b); s != "last" {
+		t.Errorf("of one that was killed: %q", s)
+	}
+	look(b)
+	if _, err := os.Stat(a.idsFile(a.no)); err == nil {
+		t.Error("what a dead process left stays")
+	}
+}
+
 // A damaged file takes back nothing that is known, stops no start, and is said once.
 func TestDamage(t *testing.T) {
 	r := newRig(t)
--- a/internal/service/overlap.go
+++ b/internal/service/overlap.go
@@ -63,6 +63,8 @@
 	mu     sync.Mutex  // of shared, where it stands alone
 	shared *handover.Shared
 	others int
+	idsMu  sync.Mutex
+	ids    []string // taken here, to be noted
 	done   chan struct{}
 	wg     sync.WaitGroup
 }
@@ -98,36 +100,59 @@
 		case <-o.done:
 			return
 		case <-next.C:
+			next.Reset(o.turn())
 		}
-		p := o.run.phases.Now()
-		if p >= dispatcher.Retiring {
-			o.member.Tell(handover.Leaving)
-		} else if p > dispatcher.Starting {
-			o.member.Tell(handover.Ready)
-		}
-		others := 0
-		o.member.Look(func(v dir.View) {
-			o.adopt(v)
-			others = v.Others
-		})
-		if p == dispatcher.Starting || others > 0 {
-			next.Reset(lookSoon)
-		} else {
-			next.Reset(lookOn)
-		}
 	}
 }
 
+// turn tells the others of this process, takes in what they tell, and returns
+// when to do so again.
+func (o *overlap) turn() time.Duration {
+	p := o.run.phases.Now()
+	if p >= dispatcher.Retiring {
+		o.member.Tell(handover.Leaving)
+	} else if p > dispatcher.Starting {
+		o.member.Tell(handover.Ready)
+	}
+	o.idsMu.Lock()
+	ids := o.ids
+	o.ids = nil
+	o.idsMu.Unlock()
+	o.member.Note(ids)
+	o.loop.Seen(o.member.Noted())
+	others := 0
+	o.member.Look(func(v dir.View) {
+		o.adopt(v)
+		others = v.Others
+	})
+	if p == dispatcher.Starting || others > 0 {
+		return lookSoon
+	}
+	return lookOn
+}
+
 // adopt puts into force what holds now.
 func (o *overlap) adopt(v dir.View) {
 	o.loop.Adopt(v.Shared, v.Leads)
 	o.run.server.Hold(!v.Leads)
 	if v.Others != o.others {
+		if o.others == 0 {
+			o.loop.ShareIDs(o.note)
+		} else if v.Others == 0 {
+			o.loop.ShareIDs(nil)
+		}
 		o.others = v.Others
 		o.run.divide(v.Others + 1)
 	}
 }
 
+// note takes ids that the loop tells of; the next look writes them.
+func (o *overlap) note(ids []string) {
+	o.idsMu.Lock()
+	defer o.idsMu.Unlock()
+	o.ids = append(o.ids, ids...)
+}
+
 // change changes what holds, here and in the other processes.
 func (o *overlap) change(f func(*handover.Shared) (*handover.Shared, error)) error {
 	if o.member != nil {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"strings"
@@ -11,28 +12,110 @@
 	"example.org/bellstream/internal/control/door"
 	"example.org/bellstream/internal/dispatcher"
 	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/handover"
+	"example.org/bellstream/internal/handover/dir"
 	"example.org/bellstream/internal/ingress"
+	"example.org/bellstream/internal/route"
 	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/wiretest"
 )
 
-// Staff are answered, and what they say binds, while the loop stands still: here
-// it is never run at all.
-func TestCommandsDoNotWaitForTheLoop(t *testing.T) {
-	t.Setenv("TMPDIR", t.TempDir())
+// process makes one process's parts; its loop does not run.
+func process(t *testing.T) (*settings.Instance, *dispatcher.Dispatcher, *running) {
+	t.Helper()
 	conf, err := settings.ParseInstance([]byte(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
 	 "known":{"seq":1,"whole":true,"hosts":[{"host":"w","dial":"127.0.0.1:1","health":"active"}]},
-	 "settings":{"lanes":[{"name":"c","semantics":"safe"}],"round":0.004}}`))
+	 "settings":{"lanes":[{"name":"c","hard_limit":60,"semantics":"safe"}],"membership_mode":"on_request","round":0.004}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	logf := func(string, ...any) {}
 	pool := &egress.Pool{Max: 4, Dial: time.Second, Keep: time.Second, Now: time.Now}
 	phases := &dispatcher.Phases{}
-	d, err := dispatcher.New(dispatcher.Options{Settings: conf.Settings, Known: conf.Known, Egress: pool, Phases: phases, Operated: true, Log: logf, Now: time.Now})
+	d, err := dispatcher.New(dispatcher.Options{Settings: conf.Settings, Known: conf.Known, Egress: pool, Phases: phases, Operated: true,
+		Watch: func(ctx context.Context, _ string, _ int64, _ func(*route.Update)) error {
+			<-ctx.Done()
+			return ctx.Err()
+		},
+		Log: logf, Now: time.Now})
 	if err != nil {
 		t.Fatal(err)
 	}
-	run := &running{conf: conf, server: ingress.NewServer(classes(conf.Settings), d, phases, 8, logf), pool: pool, loop: d, phases: phases, logf: logf, sharers: 1}
+	return conf, d, &running{conf: conf, server: ingress.NewServer(classes(conf.Settings), d, phases, 8, logf), pool: pool, loop: d,
+		phases: phases, logf: logf, sharers: 1}
+}
+
+// An id that one process has taken, before the other came or beside it, is
+// turned away by the other.
+func TestIDsOfOtherProcesses(t *testing.T) {
+	path := dir.Path(t.TempDir(), "n", "l")
+	join := func() *overlap {
+		_, d, run := process(t)
+		m, err := dir.Join(path, run.logf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := &overlap{loop: d, run: run, member: m, shared: &handover.Shared{}}
+		m.Look(o.adopt)
+		go d.Run(run.server)
+		t.Cleanup(func() { m.Leave(); d.Stop() })
+		return o
+	}
+	// arrive returns the answer, or 0 where the request was taken.
+	arrive := func(o *overlap, id string) int {
+		status := make(chan int, 1)
+		o.loop.Arrive(&ingress.Request{ID: id, Class: "c", Slots: 1, Arrived: time.Now(), Timeout: time.Hour,
+			Answer: func(a ingress.Answer) { status <- a.Status }})
+		// The loop has seen to it when it sees to what comes behind it.
+		o.loop.Figures()
+		select {
+		case s := <-status:
+			return s
+		default:
+			return 0
+		}
+	}
+	// told waits until the loop has told of so many ids, which the next turn notes.
+	told := func(o *overlap, n int) {
+		t.Helper()
+		wiretest.Until(t, "ids to be told", func() bool {
+			o.idsMu.Lock()
+			defer o.idsMu.Unlock()
+			return len(o.ids) >= n
+		})
+		o.turn()
+	}
+	a := join()
+	if got := arrive(a, "early"); got == 409 {
+		t.Fatal("the first of its id was turned away")
+	}
+	b := join()
+	a.turn()
+	told(a, 1)
+	b.turn()
+	if got := arrive(b, "early"); got != 409 {
+		t.Errorf("an id that was taken before the overlap got %d", got)
+	}
+	arrive(a, "late")
+	told(a, 1)
+	b.turn()
+	if got := arrive(b, "late"); got != 409 {
+		t.Errorf("an id that was taken in the overlap got %d", got)
+	}
+	arrive(b, "back")
+	told(b, 1)
+	a.turn()
+	if got := arrive(a, "back"); got != 409 {
+		t.Errorf("an id that the new process has taken got %d from the old one", got)
+	}
+}
+
+// Staff are answered, and what they say binds, while the loop stands still: here
+// it is never run at all.
+func TestCommandsDoNotWaitForTheLoop(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	conf, d, run := process(t)
+	logf := run.logf
 	over := newOverlap(conf, d, run, logf)
 	defer over.close()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -40,6 +123,7 @@
 		t.Fatal(err)
 	}
 	defer door.Open(l, over, logf).Close()
+	phases := run.phases
 	phases.Enter(dispatcher.Serving)
 	for _, call := range []struct {
 		line, want string
