Fix an emulated worker whose suspended jobs held memory for ever

Checked: the emulator's steps as drawn: the first in the queue lacked memory that suspended jobs held, these stood behind it, and begin() looks at the first alone (emulator.go, begin); the product is not concerned. The change: a suspended job that could go on passes a first that waits for memory; a test of its own. The upgrade test waits for the ban to be known.

--- a/cmd/bellstream/upgrade_test.go
+++ b/cmd/bellstream/upgrade_test.go
@@ -90,6 +90,13 @@
 	wiretest.Until(t, "the yes", func() bool { return say(t, p.control, "STATUS") == "ok\n" })
 }
 
+// says waits for a line of the log.
+func (p *process) says(t *testing.T, words string) {
+	t.Helper()
+	for !strings.Contains(wiretest.Get(t, p.log, "the log to say "+words), words) {
+	}
+}
+
 // stop ends a process as the platform does, and returns when it is gone.
 func (p *process) stop(t *testing.T) {
 	t.Helper()
@@ -406,8 +413,11 @@
 		goes(in)
 	}
 	// Said to the old one while both live, a ban binds the new one after the old was killed.
+	// It binds there a look later, which is within the grace.
 	say(t, old.control, "RESTORE s")
+	next.says(t, "worker s is back in")
 	say(t, old.control, "SUSPEND s")
+	next.says(t, "worker s is left out")
 	old.Process.Kill()
 	old.Wait()
 	for range 5 {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -227,9 +227,13 @@
 	for len(w.queue) > 0 {
 		t := w.queue[0]
 		if !w.fits(now, t) && !(w.Suspends && w.suspend(now, t, events)) {
-			return
+			// The memory that the first lacks may be held by those that were suspended
+			// for others: they have to end before it can begin.
+			if t = w.holder(now); t == nil {
+				return
+			}
 		}
-		heap.Pop(&w.queue)
+		heap.Remove(&w.queue, t.at)
 		kind := Started
 		if t.started {
 			kind = Resumed
@@ -243,6 +247,20 @@
 	}
 }
 
+// holder is the first of those that were suspended and could go on, where the
+// first in the queue waits for memory.
+func (w *Worker) holder(now float64) (first *task) {
+	if w.hasMemory(w.queue[0]) {
+		return nil
+	}
+	for _, t := range w.queue {
+		if t.started && w.fits(now, t) && (first == nil || t.Priority > first.Priority || t.Priority == first.Priority && t.came < first.came) {
+			first = t
+		}
+	}
+	return first
+}
+
 // suspend takes slots from jobs of a lower priority, the lowest and youngest
 // first, if that makes room.
 func (w *Worker) suspend(now float64, t *task, events *[]Event) bool {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -165,3 +165,25 @@
 		t.Error("a zone knows what it has run for 5 s")
 	}
 }
+
+// Found at random: the first in the queue waited for memory that suspended jobs
+// held, and they for it to pass: nothing ever ran again.
+func TestSuspendedJobsDoNotHoldMemoryForEver(t *testing.T) {
+	w := New(Settings{Slots: 4, Queue: 5, Speed: 1, Suspends: true, Memory: 3}, nil)
+	w.Take(0, Job{ID: "low", Slots: 4, Memory: 2, Work: 1, Priority: 0})
+	w.Advance(0)
+	w.Take(0.1, Job{ID: "high", Slots: 4, Memory: 1, Work: 1, Priority: 1})
+	w.Advance(0.1) // low is suspended, and keeps its memory
+	w.Take(0.2, Job{ID: "more", Slots: 4, Memory: 2, Work: 1, Priority: 2})
+	var done []string
+	for now := 0.2; now < 10; now += 0.1 {
+		for _, e := range w.Advance(now) {
+			if e.Kind == Done {
+				done = append(done, e.ID)
+			}
+		}
+	}
+	if len(done) != 3 {
+		t.Errorf("only %v ended", done)
+	}
+}
