--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -37,6 +37,9 @@
 	ID   string // of a worker, for Suspend and Restore
 }
 
+// String is the line.
+func (c Call) String() string { return strings.TrimSpace(string(c.Verb) + " " + c.ID) }
+
 // Parse reads a line without its end. The error is fit for the caller.
 func Parse(line []byte) (Call, error) {
 	if len(line) > MaxLine {
--- a/internal/control/door/door.go
+++ b/internal/control/door/door.go
@@ -122,8 +122,9 @@
 	}
 	call, err := control.Parse(line)
 	if err == nil {
-		if err = call.Do(d.desk); call.Verb != control.Status || err != nil {
-			d.log("control: %s %s: %s", call.Verb, call.ID, told(err))
+		// STATUS is asked by programs too, many times a second.
+		if err = call.Do(d.desk); call.Verb != control.Status {
+			d.log("control: %s: %s", call, told(err))
 		}
 	}
 	c.SetWriteDeadline(time.Now().Add(sendTime))
