Keep the ledger's records in a bbolt file, many to a commit

A record has to be safe on disk before its effect. Nothing uses it yet. The change: internal/store: group commit by one goroutine, a checksum over key and record, numbers without gaps, a version, a lock against a second process; for want of room a group is refused and the next may succeed, after any other failure nothing on the file is believed. Found by its tests: with its list of free pages not written, the library looks at all pages at a start in a goroutine of its own and a flipped byte there is a panic that cannot be caught; the list is written now, and a panic in the opening goroutine is an error that says so.

--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,289 @@
+// Package store keeps the ledger's records on disk. Many records share one
+// commit; a record is safe when its commit has returned, and not before.
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"example.org/bellstream/internal/ledger"
+)
+
+// Version is that of the file's form.
+const Version = 1
+
+const (
+	lockWait = 200 * time.Millisecond // for the file, if another process has it
+	most     = 512                    // records in one commit
+	waiting  = 4096                   // records that wait for one; more wait with their callers
+	maxID    = 1 << 10
+)
+
+var (
+	records = []byte("records")
+	meta    = []byte("meta")
+	version = []byte("version")
+	table   = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// ErrFailed is why records are refused after a commit that may have left the
+// file in any state. ErrClosed is why they are after Close.
+var (
+	ErrFailed = errors.New("store: a commit failed: nothing on the file is believed any more")
+	ErrClosed = errors.New("store: closed")
+)
+
+// Store is an open file. Its methods may be called from any goroutine.
+type Store struct {
+	db     *bbolt.DB
+	queue  chan entry
+	wg     sync.WaitGroup
+	commit func(func(*bbolt.Tx) error) error // db.Update, but in tests
+
+	gate   sync.RWMutex // of closed and the queue's end
+	closed bool
+
+	mu     sync.Mutex
+	next   map[string]uint64 // the number of each job's next record
+	failed error
+}
+
+// entry is a record, or the end of a job, that waits for its commit.
+type entry struct {
+	id   string
+	raw  []byte // the record; nil: the job is to be forgotten
+	told func(error)
+}
+
+// Open opens a file, which is made where there is none, and returns the ledger
+// as the records in it say. Damage is an error that names the job and record;
+// the file is not changed then. A file that another process has is an error
+// too.
+func Open(path string) (s *Store, l *ledger.Ledger, err error) {
+	// The library panics upon pages that can't be, or reads beyond the file: here,
+	// where all of them are read for the first time, that is damage, and no crash.
+	// The file stays open then, for the library does not let go of it.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if why := recover(); why != nil {
+			s, l, err = nil, nil, fmt.Errorf("store %s: its pages are damaged: %v", path, why)
+		}
+	}()
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return nil, nil, fmt.Errorf("store %s: another process has it", path)
+	}
+	if err != nil {
+		return nil, nil, fmt.Errorf("store %s: %w", path, err)
+	}
+	s = &Store{db: db, queue: make(chan entry, waiting), commit: db.Update, next: map[string]uint64{}}
+	if l, err = s.load(); err != nil {
+		db.Close()
+		return nil, nil, fmt.Errorf("store %s: %w", path, err)
+	}
+	s.wg.Add(1)
+	go s.write()
+	return s, l, nil
+}
+
+// load reads the whole file. Nothing is written but the version of a new one.
+func (s *Store) load() (*ledger.Ledger, error) {
+	fresh := false
+	l := ledger.New()
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		m, r := tx.Bucket(meta), tx.Bucket(records)
+		if m == nil && r == nil {
+			fresh = true
+			return nil
+		}
+		if m == nil || r == nil || len(m.Get(version)) != 1 {
+			return errors.New("it is no store, or its meta data are damaged")
+		}
+		if v := m.Get(version)[0]; v != Version {
+			return fmt.Errorf("its version is %d, this program knows %d", v, Version)
+		}
+		return Each(tx, func(id string, number uint64, rec ledger.Record) error {
+			if number != s.next[id] {
+				return fmt.Errorf("job %q: record %d is missing", id, s.next[id])
+			}
+			s.next[id]++
+			return l.Apply(rec)
+		})
+	})
+	if err != nil || !fresh {
+		return l, err
+	}
+	return l, s.db.Update(func(tx *bbolt.Tx) error {
+		m, err := tx.CreateBucket(meta)
+		if err == nil {
+			err = m.Put(version, []byte{Version})
+		}
+		if err == nil {
+			_, err = tx.CreateBucket(records)
+		}
+		return err
+	})
+}
+
+// Each calls f for every record of the file: jobs by the length of their ids
+// and then by them, a job's records in order. It stops at the first damaged one.
+func Each(tx *bbolt.Tx, f func(id string, number uint64, r ledger.Record) error) error {
+	b := tx.Bucket(records)
+	if b == nil {
+		return nil
+	}
+	return b.ForEach(func(k, v []byte) error {
+		id, number, err := decodeKey(k)
+		if err != nil {
+			return err
+		}
+		if len(v) < 4 || binary.BigEndian.Uint32(v) != crc32.Update(crc32.Checksum(k, table), table, v[4:]) {
+			return fmt.Errorf("job %q: record %d is damaged", id, number)
+		}
+		var r ledger.Record
+		if err := json.Unmarshal(v[4:], &r); err != nil || r.ID != id {
+			return fmt.Errorf("job %q: record %d can't be read: %v", id, number, err)
+		}
+		return f(id, number, r)
+	})
+}
+
+// key is that of a job's record: length of the id, id, number.
+func key(id string, number uint64) []byte {
+	k := binary.BigEndian.AppendUint16(nil, uint16(len(id)))
+	return binary.BigEndian.AppendUint64(append(k, id...), number)
+}
+
+func decodeKey(k []byte) (id string, number uint64, err error) {
+	if len(k) < 10 || len(k) != 10+int(binary.BigEndian.Uint16(k)) {
+		return "", 0, fmt.Errorf("a key of %d bytes is damaged", len(k))
+	}
+	return string(k[2 : len(k)-8]), binary.BigEndian.Uint64(k[len(k)-8:]), nil
+}
+
+// value is a record with a checksum over its key and itself, so that one that
+// strays to another's place is found too.
+func value(k, raw []byte) []byte {
+	sum := crc32.Update(crc32.Checksum(k, table), table, raw)
+	return append(binary.BigEndian.AppendUint32(nil, sum), raw...)
+}
+
+// Append writes a record. It calls told, from another goroutine, with nil once
+// the record is safe, or with why it is not. Records of one job are written in
+// the order of the calls. It waits while very many are waiting.
+func (s *Store) Append(r ledger.Record, told func(error)) {
+	raw, err := json.Marshal(r)
+	s.put(entry{id: r.ID, raw: raw, told: told}, err)
+}
+
+// Forget takes a job's records out.
+func (s *Store) Forget(id string, told func(error)) { s.put(entry{id: id, told: told}, nil) }
+
+func (s *Store) put(e entry, err error) {
+	if err == nil && (e.id == "" || len(e.id) > maxID) {
+		err = fmt.Errorf("store: an id of %d bytes", len(e.id))
+	}
+	s.gate.RLock()
+	defer s.gate.RUnlock()
+	if err == nil && s.closed {
+		err = ErrClosed
+	}
+	if err != nil {
+		go e.told(err)
+		return
+	}
+	s.queue <- e
+}
+
+// write commits what waits, all of it at once, until the queue is closed and empty.
+func (s *Store) write() {
+	defer s.wg.Done()
+	for e := range s.queue {
+		group := []entry{e}
+		for more := true; more && len(group) < most; {
+			select {
+			case e, ok := <-s.queue:
+				if more = ok; ok {
+					group = append(group, e)
+				}
+			default:
+				more = false
+			}
+		}
+		err := s.save(group)
+		for _, e := range group {
+			e.told(err)
+		}
+	}
+}
+
+// save commits a group, as a whole or not at all.
+func (s *Store) save(group []entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	next := map[string]uint64{} // of the jobs in this group
+	err := s.commit(func(tx *bbolt.Tx) error {
+		clear(next)
+		b := tx.Bucket(records)
+		for _, e := range group {
+			n, here := next[e.id]
+			if !here {
+				n = s.next[e.id]
+			}
+			if e.raw != nil {
+				k := key(e.id, n)
+				if err := b.Put(k, value(k, e.raw)); err != nil {
+					return err
+				}
+				next[e.id] = n + 1
+				continue
+			}
+			for i := range n {
+				if err := b.Delete(key(e.id, i)); err != nil {
+					return err
+				}
+			}
+			next[e.id] = 0
+		}
+		return nil
+	})
+	switch {
+	case err == nil:
+		for id, n := range next {
+			if s.next[id] = n; n == 0 {
+				delete(s.next, id)
+			}
+		}
+		return nil
+	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT):
+		return fmt.Errorf("store: not written: %w", err) // rolled back: the file is as it was
+	}
+	s.failed = fmt.Errorf("%w (%v)", ErrFailed, err)
+	return s.failed
+}
+
+// Close writes what waits and closes the file.
+func (s *Store) Close() error {
+	s.gate.Lock()
+	if s.closed {
+		s.gate.Unlock()
+		return nil
+	}
+	s.closed = true
+	close(s.queue)
+	s.gate.Unlock()
+	s.wg.Wait()
+	return s.db.Close()
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,370 @@
+package store
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/ledger"
+)
+
+// TestMain lets the test binary stand in for a process that is killed.
+func TestMain(m *testing.M) {
+	if path := os.Getenv("STORE_CHILD"); path != "" {
+		child(path)
+	}
+	os.Exit(m.Run())
+}
+
+func open(t *testing.T, path string) (*Store, *ledger.Ledger) {
+	t.Helper()
+	s, l, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s, l
+}
+
+// add appends records and returns what was told of each.
+func add(s *Store, records ...ledger.Record) (errs []error) {
+	told := make(chan error, len(records))
+	for _, r := range records {
+		s.Append(r, func(err error) { told <- err })
+	}
+	for range records {
+		errs = append(errs, <-told)
+	}
+	return errs
+}
+
+func steps(id string) []ledger.Record {
+	return []ledger.Record{{Kind: ledger.Take, ID: id, Repeat: balance.Unsafe, Data: []byte("body"), Deadline: 1.5},
+		{Kind: ledger.Grant, ID: id, Term: 1, Worker: "w", Epoch: "e"}, {Kind: ledger.Report, ID: id, Outcome: ledger.Served, Result: []byte{0, 0xff}}}
+}
+
+func TestWhatIsSafeComesBack(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	s, l := open(t, path)
+	if len(l.IDs()) != 0 {
+		t.Fatal("a new file holds jobs")
+	}
+	for _, id := range []string{"a", "ab", "b", "\x00"} {
+		for _, err := range add(s, steps(id)...) {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	add(s, steps("c")[:2]...)
+	told := make(chan error)
+	s.Forget("ab", func(err error) { told <- err })
+	if err := <-told; err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(path); err == nil || !strings.Contains(err.Error(), "another process has it") {
+		t.Errorf("opened twice: %v", err)
+	}
+	s.Close()
+	if errs := add(s, steps("d")[0]); !errors.Is(errs[0], ErrClosed) {
+		t.Errorf("after the end: %v", errs)
+	}
+	_, l = open(t, path)
+	if got := fmt.Sprintf("%q", l.IDs()); got != `["\x00" "a" "b" "c"]` {
+		t.Errorf("got %s", got)
+	}
+	if j := l.Job("a"); j.State != ledger.Reported || string(j.Data) != "body" || j.Deadline != 1.5 || string(j.Result) != "\x00\xff" {
+		t.Errorf("got %+v", j)
+	}
+	if j := l.Job("c"); j.Next() != ledger.Query || j.Leases[0].Worker != "w" || j.Leases[0].Epoch != "e" {
+		t.Errorf("got %+v", j)
+	}
+}
+
+// A full disk refuses records, and the next may be written; after any other
+// failure nothing is.
+func TestFailingCommits(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	s, _ := open(t, path)
+	whole := s.commit
+	fail := func(err error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.commit = func(f func(*bbolt.Tx) error) error {
+			return whole(func(tx *bbolt.Tx) error {
+				if e := f(tx); e != nil {
+					return e
+				}
+				return err
+			})
+		}
+	}
+	a := steps("a")
+	add(s, a[0])
+	fail(fmt.Errorf("write: %w", syscall.ENOSPC))
+	if errs := add(s, a[1]); !errors.Is(errs[0], syscall.ENOSPC) {
+		t.Fatalf("got %v", errs)
+	}
+	fail(nil)
+	if errs := add(s, a[1]); errs[0] != nil {
+		t.Fatalf("room again, and %v", errs)
+	}
+	fail(syscall.EIO)
+	if errs := add(s, a[2]); !errors.Is(errs[0], ErrFailed) {
+		t.Fatalf("got %v", errs)
+	}
+	fail(nil)
+	if errs := add(s, a[2]); !errors.Is(errs[0], ErrFailed) {
+		t.Errorf("the file is believed again: %v", errs)
+	}
+	if errs := add(s, ledger.Record{Kind: ledger.Take, ID: strings.Repeat("x", maxID+1)}); errs[0] == nil {
+		t.Error("no bound on ids")
+	}
+	s.Close()
+	_, l := open(t, path)
+	if j := l.Job("a"); j.State != ledger.Leased {
+		t.Errorf("got %+v", j)
+	}
+}
+
+// A byte that has turned is found, named and left as it is.
+func TestDamage(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	s, _ := open(t, path)
+	add(s, append(steps("a"), steps("b")...)...)
+	for _, c := range []struct {
+		spoil func(b *bbolt.Bucket, m *bbolt.Bucket) error
+		want  string
+	}{
+		{func(b, _ *bbolt.Bucket) error {
+			v := append([]byte(nil), b.Get(key("b", 1))...)
+			v[len(v)/2] ^= 4
+			return b.Put(key("b", 1), v)
+		}, `job "b": record 1 is damaged`},
+		{func(b, _ *bbolt.Bucket) error { return b.Put(key("b", 1), b.Get(key("a", 1))) }, `job "b": record 1 is damaged`},
+		{func(b, _ *bbolt.Bucket) error { return b.Delete(key("a", 0)) }, `job "a": record 0 is missing`},
+		{func(b, _ *bbolt.Bucket) error { return b.Put([]byte("stray"), []byte("x")) }, "a key of 5 bytes is damaged"},
+		{func(_, m *bbolt.Bucket) error { return m.Put(version, []byte{9}) }, "its version is 9"},
+	} {
+		s.Close()
+		whole, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bad := filepath.Join(t.TempDir(), "bad")
+		os.WriteFile(bad, whole, 0o600)
+		db, err := bbolt.Open(bad, 0o600, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := db.Update(func(tx *bbolt.Tx) error { return c.spoil(tx.Bucket(records), tx.Bucket(meta)) }); err != nil {
+			t.Fatal(err)
+		}
+		db.Close()
+		was, _ := os.ReadFile(bad)
+		if _, _, err := Open(bad); err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), bad) {
+			t.Errorf("got %v, want %q", err, c.want)
+		}
+		if is, _ := os.ReadFile(bad); string(is) != string(was) {
+			t.Errorf("%s: the damaged file was changed", c.want)
+		}
+	}
+}
+
+// Bytes turn anywhere in the file: it is refused, or it holds what it held. It
+// never brings the program down, nor anything that was not written.
+func TestBytesFlipped(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	s, _ := open(t, path)
+	for n := range 40 {
+		add(s, steps(fmt.Sprint("job", n))...)
+	}
+	s.Close()
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	refused := 0
+	for range 300 {
+		bad := filepath.Join(t.TempDir(), "bad")
+		spoilt := append([]byte(nil), whole...)
+		for range 1 + rng.IntN(3) {
+			spoilt[rng.IntN(len(spoilt))] ^= 1 << rng.IntN(8)
+		}
+		os.WriteFile(bad, spoilt, 0o600)
+		s, l, err := Open(bad)
+		if err != nil {
+			refused++
+			continue
+		}
+		for _, id := range l.IDs() {
+			if j := l.Job(id); j.State != ledger.Reported || string(j.Data) != "body" || !strings.HasPrefix(id, "job") {
+				t.Fatalf("%q came out as %+v", id, j)
+			}
+		}
+		if len(l.IDs()) != 40 {
+			t.Fatalf("%d jobs of 40 came back, and no word of it", len(l.IDs()))
+		}
+		for n := range 60 { // what is written now must not go over what is there
+			add(s, steps(fmt.Sprint("new", n))...)
+		}
+		s.Close()
+		s, l, err = Open(bad)
+		if err != nil || len(l.IDs()) != 100 {
+			t.Fatalf("after more was written: %v, %d jobs", err, len(l.IDs()))
+		}
+		s.Close()
+	}
+	t.Logf("%d of 300 refused", refused)
+}
+
+// child takes jobs and says which records are safe, until it is killed.
+func child(path string) {
+	s, l, err := Open(path)
+	if err != nil {
+		fmt.Println("error", err)
+		os.Exit(1)
+	}
+	out := make(chan string, 1024)
+	for n := range 8 {
+		go func() {
+			for i := len(l.IDs()); ; i++ {
+				id := fmt.Sprintf("%d-%d-%d", os.Getpid(), n, i)
+				for no, r := range steps(id) {
+					told := make(chan error)
+					s.Append(r, func(err error) { told <- err })
+					if err := <-told; err != nil {
+						out <- "error " + err.Error()
+						return
+					}
+					out <- fmt.Sprintf("safe %s %d", id, no)
+				}
+			}
+		}()
+	}
+	for line := range out {
+		fmt.Println(line)
+	}
+}
+
+// A process is killed at any moment, again and again: what it called safe is
+// there, and the file can be read.
+func TestKilled(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	rng := rand.New(rand.NewPCG(1, 2))
+	safe := map[string]int{}
+	for range 8 {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "STORE_CHILD="+path)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		r := bufio.NewReader(out)
+		lines := 20 + rng.IntN(400)
+		for n := 0; ; n++ {
+			line, err := r.ReadString('\n')
+			if errors.Is(err, io.EOF) || err != nil {
+				break // what was said before the kill is read to its end
+			}
+			var id string
+			var no int
+			if _, err := fmt.Sscanf(line, "safe %s %d", &id, &no); err != nil {
+				t.Fatalf("the child says %q", line)
+			}
+			safe[id] = no
+			if n == lines {
+				cmd.Process.Kill()
+			}
+		}
+		cmd.Wait()
+		s, l := open(t, path)
+		for id, no := range safe {
+			j := l.Job(id)
+			if j == nil || no == 1 && j.State == ledger.Taken || no == 2 && j.State != ledger.Reported {
+				t.Fatalf("record %d of %s was safe, and now it is %+v", no, id, j)
+			}
+		}
+		s.Close()
+	}
+	t.Logf("%d jobs over 8 kills", len(safe))
+}
+
+// One commit takes what has come while the last was under way.
+func BenchmarkAppend(b *testing.B) {
+	for _, callers := range []int{1, 32, 256} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			s, _, err := Open(filepath.Join(b.TempDir(), "s"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			places := make(chan struct{}, callers)
+			start := time.Now()
+			for n := range b.N {
+				places <- struct{}{}
+				s.Append(ledger.Record{Kind: ledger.Take, ID: fmt.Sprint(n), Repeat: balance.Unsafe, Data: make([]byte, 300)}, func(err error) {
+					if err != nil {
+						b.Error(err)
+					}
+					<-places
+				})
+			}
+			for range callers {
+				places <- struct{}{}
+			}
+			b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "records/s")
+		})
+	}
+}
+
+// A start with so many open jobs, each taken and leased.
+func BenchmarkOpen(b *testing.B) {
+	const jobs = 100_000
+	path := filepath.Join(b.TempDir(), "s")
+	s, _, err := Open(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	told := make(chan error, 2*jobs)
+	for n := range jobs {
+		id := fmt.Sprintf("%016x", n)
+		s.Append(ledger.Record{Kind: ledger.Take, ID: id, Repeat: balance.Unsafe, Data: make([]byte, 300)}, func(err error) { told <- err })
+		s.Append(ledger.Record{Kind: ledger.Grant, ID: id, Term: 1, Worker: "w", Epoch: "e"}, func(err error) { told <- err })
+	}
+	for range 2 * jobs {
+		if err := <-told; err != nil {
+			b.Fatal(err)
+		}
+	}
+	s.Close()
+	fi, err := os.Stat(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(fi.Size())/jobs, "bytes/job")
+	for b.Loop() {
+		s, l, err := Open(path)
+		if err != nil || len(l.IDs()) != jobs {
+			b.Fatal(err, len(l.IDs()))
+		}
+		s.Close()
+	}
+	b.ReportMetric(float64(fi.Size())/jobs, "bytes/job")
+}
