Read no more of other processes' ids than there is

Cause: Noted (internal/handover/dir) made a buffer of 1 MB for each other process at each look, 200 times a second in an overlap; the collector paid for it. The change: the buffer is as long as what was added; a test bounds what a look allocates (16 kB; 1 MB before).

--- a/internal/handover/dir/dir.go
+++ b/internal/handover/dir/dir.go
@@ -151,7 +151,10 @@
 		if err != nil {
 			continue // it has noted none
 		}
-		raw := make([]byte, maxRead)
+		var raw []byte // no more than there is: this is asked 200 times a second
+		if fi, err := f.Stat(); err == nil {
+			raw = make([]byte, min(max(fi.Size()-m.taken[p.No], 0), maxRead))
+		}
 		n, _ := f.ReadAt(raw, m.taken[p.No])
 		f.Close()
 		end := bytes.LastIndexByte(raw[:n], '\n') + 1 // half a line is read when it is whole
--- a/internal/handover/dir/dir_test.go
+++ b/internal/handover/dir/dir_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -213,3 +214,21 @@
 		t.Error("two dispatchers have one folder")
 	}
 }
+
+// Looking for ids that are not there takes no memory to speak of.
+func TestNotedIsCheap(t *testing.T) {
+	r := newRig(t)
+	a, b := r.join(), r.join()
+	look(a)
+	b.Note([]string{"x"})
+	a.Noted()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 50 {
+		a.Noted()
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / 50; each > 16<<10 {
+		t.Errorf("%d bytes a look", each)
+	}
+}
