--- a/cmd/bellstream/main.go
+++ b/cmd/bellstream/main.go
@@ -18,6 +18,7 @@
 	Check   checkCmd   `cmd:"" help:"Check an operator's file without starting; with --config also whether its promises fit."`
 	Peers   peersCmd   `cmd:"" help:"Show the cluster as a running instance sees it."`
 	Waiting waitingCmd `cmd:"" help:"Show what waits at a running instance."`
+	Control controlCmd `cmd:"" help:"Say a line to a running instance's control address: STATUS, SUSPEND ID, RESTORE ID, PAUSE, RESUME."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -26,6 +27,13 @@
 	Config string `help:"The platform's configuration (JSON)." env:"RELAY_CONFIG" placeholder:"FILE"`
 }
 
+// Help says what the platform sets beside the file.
+func (*serveCmd) Help() string {
+	return "The platform may set RELAY_CONTROL (or 'control' in its configuration), an address for operators' commands; " +
+		"RELAY_INHERITED_FD, the descriptor of the clients' listening socket, for an upgrade beside the running process; " +
+		"and TMPDIR, where the processes of an instance keep what operators said."
+}
+
 func (c *serveCmd) Run() error { return service.Serve(c.Config, c.File) }
 
 type checkCmd struct {
@@ -53,6 +61,13 @@
 	return service.ShowWaiting(out, c.Admin, c.File, c.JSON)
 }
 
+type controlCmd struct {
+	At   string   `help:"The control address of the instance." env:"RELAY_CONTROL" placeholder:"HOST:PORT" required:""`
+	Line []string `arg:"" help:"The command and, where it takes one, the id of a worker."`
+}
+
+func (c *controlCmd) Run(out io.Writer) error { return service.Say(out, c.At, c.Line) }
+
 type versionCmd struct{}
 
 func (versionCmd) Run(out io.Writer) error {
--- a/cmd/bellstream/main_test.go
+++ b/cmd/bellstream/main_test.go
@@ -218,6 +218,9 @@
 		{[]string{"check", bad}, 1, "bad.hcl:7: counts.floor: 2"},
 		{[]string{"check", filepath.Join(dir, "none.hcl")}, 1, "no such file"},
 		{[]string{"peers"}, 1, "--admin"},
+		{[]string{"control", "--at", "127.0.0.1:1", "STATUS"}, 1, "connection refused"},
+		{[]string{"control", "--at", "127.0.0.1:1", "SUSPEND"}, 1, "SUSPEND wants the id of a worker"},
+		{[]string{"serve", "--help"}, 0, "RELAY_INHERITED_FD"},
 		{[]string{"serve", "--file", bad, "--config", conf}, 1, "bad.hcl:6"},
 		{[]string{"nonsense"}, 2, "unexpected argument nonsense"},
 	} {
--- a/internal/handover/dir/dir.go
+++ b/internal/handover/dir/dir.go
@@ -47,6 +47,7 @@
 	taken   map[uint64]int64   // how far the others' were read
 	changed time.Time          // the folder's time when it was last read
 	read    time.Time          // when a change was last seen
+	stuck   time.Time          // when the lock was last waited for in vain
 	said    string             // the last complaint, so that it is made once
 }
 
@@ -187,12 +188,17 @@
 	if err != nil {
 		return nil, err
 	}
-	for end := time.Now().Add(lockWait); ; time.Sleep(2 * time.Millisecond) {
+	end := time.Now().Add(lockWait)
+	if time.Since(m.stuck) < settled {
+		end = time.Time{} // callers behind the first do not wait for it each in turn
+	}
+	for ; ; time.Sleep(2 * time.Millisecond) {
 		if err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err == nil {
 			return func() { f.Close() }, nil
 		}
 		if time.Now().After(end) {
 			f.Close()
+			m.stuck = time.Now()
 			return nil, fmt.Errorf("the lock of %s is held by another process", m.path)
 		}
 	}
--- a/internal/handover/dir/dir_test.go
+++ b/internal/handover/dir/dir_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -203,6 +204,13 @@
 	if err := m.Change(out("w"), func(now View) { v = now }); err != nil || !v.Shared.IsOut("w") || len(r.said) != 1 {
 		t.Errorf("%v, %+v, the log says %q", err, v.Shared, r.said)
 	}
+	began := time.Now()
+	for n := range 10 {
+		m.Change(out(fmt.Sprint(n)), none)
+	}
+	if took := time.Since(began); took > lockWait {
+		t.Errorf("ten more commands took %v", took)
+	}
 	if _, err := Join(r.path, r.log); err == nil {
 		t.Error("a process has entered without the lock")
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -70,7 +70,7 @@
 
 // Encode puts it in the form of a file.
 func (s *Shared) Encode() []byte {
-	raw, err := json.Marshal(map[string]any{"version": Version, "out": s.Out, "paused": s.Paused, "end": true})
+	raw, err := json.Marshal(map[string]any{"version": Version, "out": s.Out, "paused": s.Paused})
 	if err != nil {
 		panic(err) // times are finite
 	}
@@ -88,8 +88,8 @@
 		return nil, fmt.Errorf("version: %q, want %d", v.String(), Version)
 	}
 	out, paused := root.Get("out"), root.Get("paused")
-	if out.Type != gjson.Null && !out.IsObject() || !paused.IsBool() || !root.Get("end").Bool() {
-		return nil, errors.New("out, paused or end is missing or of a wrong type")
+	if out.Type != gjson.Null && !out.IsObject() || !paused.IsBool() {
+		return nil, errors.New("out or paused is missing or of a wrong type")
 	}
 	s := &Shared{Out: map[string]float64{}, Paused: paused.Bool()}
 	var err error
--- a/internal/service/commands.go
+++ b/internal/service/commands.go
@@ -1,14 +1,19 @@
 package service
 
 import (
+	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
+	"example.org/bellstream/internal/control"
 	"example.org/bellstream/internal/dispatcher"
 	"example.org/bellstream/internal/operator"
 	"example.org/bellstream/internal/peers"
@@ -156,3 +161,27 @@
 	fmt.Fprintln(w)
 	return w.Flush()
 }
+
+// Say calls a control address, prints the answer, and fails where it is no 'ok'.
+func Say(out io.Writer, at string, words []string) error {
+	if _, err := control.Parse([]byte(strings.Join(words, " "))); err != nil {
+		return err
+	}
+	c, err := net.DialTimeout("tcp", at, 5*time.Second)
+	if err != nil {
+		return fmt.Errorf("control address: %w", err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintln(c, strings.Join(words, " "))
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return fmt.Errorf("control address %s: no answer: %w", at, err)
+	}
+	answer = strings.TrimSpace(answer)
+	if why, failed := strings.CutPrefix(answer, "fail "); failed {
+		return errors.New(why)
+	}
+	fmt.Fprintln(out, answer)
+	return nil
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -142,7 +142,8 @@
 }
 
 // limit keeps the program within its share of the machine, which processes of
-// one dispatcher divide. Over the memory limit it would be killed, so the collector works harder well before that.
+// one dispatcher divide. Over the memory limit it would be killed, so the
+// collector works harder well before that.
 func limit(c *settings.Instance, sharers int) {
 	if c.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
