Stop accepting before the loop hears that it yields

Cause: overlap.adopt told the loop first, which logged, and held the listener after it (internal/service/overlap.go, adopt); a client in between was accepted by the process that yields. It was served, unless that process was killed in that moment. The change: the listener is held first.

--- a/internal/service/overlap.go
+++ b/internal/service/overlap.go
@@ -133,8 +133,8 @@
 
 // adopt puts into force what holds now.
 func (o *overlap) adopt(v dir.View) {
+	o.run.server.Hold(!v.Leads) // first: when the log says that it yields, it takes nobody
 	o.loop.Adopt(v.Shared, v.Leads)
-	o.run.server.Hold(!v.Leads)
 	if v.Others != o.others {
 		if o.others == 0 {
 			o.loop.ShareIDs(o.note)
