--- a/balance/balance.go
+++ b/balance/balance.go
@@ -279,7 +279,7 @@
 	order := make([]*tenant, 0, len(b.tenants))
 	for _, t := range b.tenants {
 		if t.next = b.candidates(t, late); len(t.next) > 0 {
-			t.tag = max(t.local, t.next[0].arrived)
+			t.tag = max(t.local, t.next[0].j.arrived)
 			order = append(order, t)
 		}
 	}
@@ -291,8 +291,8 @@
 		return x.global < y.global
 	})
 	for _, t := range order {
-		for _, j := range t.next {
-			leave, need := 0.0, 1.0
+		for _, c := range t.next {
+			j, leave, need := c.j, 0.0, 1.0
 			dear := j.price() > (2-0.8*b.blind())*t.price.or(j.price(), 1)
 			if dear && !b.due(t) {
 				need = dearNeeds
@@ -334,8 +334,7 @@
 // the best odds, in a long queue of the oldest and youngest; the most worth for the slot
 // time goes first. Danger: in a long backlog first come, first served makes nearly all miss
 // their aim. May hurt a tenant's long jobs while its short ones fill its share.
-func (b *Balancer) candidates(t *tenant, late bool) []*job {
-	var found []choice
+func (b *Balancer) candidates(t *tenant, late bool) (found []choice) {
 	for _, g := range t.queue.groups {
 		best := choice{odds: -1}
 		g.ends(lookMost, func(j *job) bool { return !late && b.hopeless(j) }, func(j *job) {
@@ -355,15 +354,10 @@
 			found = append(found, best)
 		}
 	}
-	sort.Slice(found, func(i, k int) bool {
-		x, y := found[i], found[k]
-		return x.worth > y.worth || x.worth == y.worth && before(x.first, y.first) < 0
+	slices.SortFunc(found, func(x, y choice) int {
+		return cmp.Or(cmp.Compare(y.worth, x.worth), before(x.first, y.first))
 	})
-	jobs := make([]*job, len(found))
-	for i, c := range found {
-		jobs[i] = c.j
-	}
-	return jobs
+	return found
 }
 
 // hopeless says that a job has waited beyond its aim and what the mean job gains by stretch.
--- a/balance/state.go
+++ b/balance/state.go
@@ -48,15 +48,15 @@
 	name   string
 	quota  float64
 	weight float64
-	parts  float64 // 1 over this dispatcher's part of the quota
-	local  float64 // tag of the next job by reservation
-	global float64 // tag of the next job by weight
-	tag    float64 // local, but no older than the job that is next
-	next   []*job  // candidates of the present pass
-	queue  queue   // what waits
-	bucket float64 // slots that it may send beyond its reservation before that is surplus
-	filled float64 // when the bucket was last filled
-	price  mean    // slot time that its jobs take for their worth
+	parts  float64  // 1 over this dispatcher's part of the quota
+	local  float64  // tag of the next job by reservation
+	global float64  // tag of the next job by weight
+	tag    float64  // local, but no older than the job that is next
+	next   []choice // candidates of the present pass
+	queue  queue    // what waits
+	bucket float64  // slots that it may send beyond its reservation before that is surplus
+	filled float64  // when the bucket was last filled
+	price  mean     // slot time that its jobs take for their worth
 }
 
 type job struct {
