Take a load report that was asked for as fresh, so wide jobs find their room

Checked: 27% of the workers' answers to probes showed four free slots or more, the purse for probes was nearly full (0.5 of 0.6), memory fitted; so neither room nor news was lacking. In 25 refusals looked at, the largest estimate of any worker in the pool was 1.8 to 3.1 slots. Cause: note in balance.go took any report for 0.3 s old and half of the time since the last one, and free lets it fade to the zone's mean by that age. So four slots, seen a moment ago, counted for 3.3 and below; a job of four needs 3.5. The change: a report that was asked for is 0.05 s old when it comes. One that comes with an answer is as old as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,8 @@
 	holdShare    = 0.25  // part of its aim that a job waits for answers
 	holdMost     = 128   // while no more wait: with many, some answer is always out and none would ever go
 	idlePrior    = 2.0   // reports that the expectation of one free slot for each worker counts for
-	reportAge    = 0.3   // how old a report is taken to be when it comes
+	reportAge    = 0.3   // how old a report is taken to be that comes with an answer
+	askedAge     = 0.05  // the same of one that was asked for: workers renew it every few ms
 	coldSafety   = 0.8   // part of the cold budget that is used: sizes are only expected ones
 	coldTurn     = 30.0  // how much a cold worker is preferred by who has its turn: no other sends there
 	memory       = 8.0   // how far back own sends are remembered
@@ -369,21 +370,24 @@
 
 // ---- Worker estimate ----
 
-// note takes in a load report. Its figures are as old as the report was late;
-// an unchanged report is the same one again and keeps its age.
-func (b *Balancer) note(w *worker, report []float64) {
+// note takes in a load report. Its figures are as old as the report was late; an
+// unchanged one that came unasked is the same one again and keeps its age. Danger: taken
+// for older than it is, a report of just enough room for a wide job shows too little, and
+// such a job finds a place at no worker.
+func (b *Balancer) note(w *worker, report []float64, asked bool) {
 	odd := func(v float64) bool { return !(v >= 0 && v < math.MaxFloat64) }
 	if len(report) != len(b.cfg.ReportFields) || len(report) == 0 || slices.ContainsFunc(report, odd) {
 		return
 	}
 	r := &w.rep
 	w.stranger = false
-	gap := min(b.now-r.recv, probeEvery)
-	r.recv = b.now
-	if r.ok && slices.Equal(r.raw, report) {
+	taken := b.now - min(b.now-r.recv, probeEvery)/2 - reportAge
+	if asked {
+		taken = b.now - askedAge
+	}
+	if r.recv = b.now; !asked && r.ok && slices.Equal(r.raw, report) {
 		return
 	}
-	taken := b.now - gap/2 - reportAge
 	if taken < r.taken {
 		return // older than what a 'full' told since
 	}
@@ -697,7 +701,7 @@
 	}
 	b.take(w, -j.slots, -j.mem)
 	w.tries = slices.DeleteFunc(w.tries, func(o *attempt) bool { return o == a })
-	b.note(w, e.Report)
+	b.note(w, e.Report, false)
 	if j.failed > 0 && (e.Outcome == Served || e.Outcome == Errored) {
 		b.helped.add(map[Outcome]float64{Served: 1}[e.Outcome])
 	}
@@ -1082,7 +1086,7 @@
 			b.logf("worker %s answers again", w.ID)
 		}
 		w.down = false
-		b.note(w, e.Report)
+		b.note(w, e.Report, true)
 	case Unreachable:
 		b.lost(w)
 	default: // busy to the brim, or silent: no room either way
