Mix the order in which workers are left to wide jobs, and show its effect in the laboratory

Seen: a new experiment, fleetcost (60 workers of five slots, 4 to 300 dispatchers, a job in ten of four slots, no kit), gave the same result to the digit whatever part of the workers was kept. The change: the hash seeds a generator, as for the dispatcher's own order. A worker that operators took back is preferred by all jobs, as before (TestTakenBackIsNext). The model counts questions, handshakes and connections, and can give every dispatcher its own ids (--without order), so that no order is shared; then the experiment fails.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -509,7 +509,7 @@
 // of the work. May hurt narrow ones while that part changes.
 func (b *Balancer) suits(w *worker, slots float64) float64 {
 	kept := w.keep < (b.wideWork+keepShare*keepPrior)/(b.allWork+keepPrior)
-	if kept == (2*slots > b.widest) {
+	if w.back || kept == (2*slots > b.widest) {
 		return 1
 	}
 	return keepFactor
@@ -523,7 +523,7 @@
 	if w.near = 1; w.Zone == b.cfg.Zone {
 		w.near = nearFactor
 	}
-	w.keep = float64(h.Sum64()>>11) / (1 << 53)
+	w.keep = rand.New(rand.NewPCG(h.Sum64(), math.MaxUint64)).Float64()
 	w.rank = rand.New(rand.NewPCG(h.Sum64(), uint64(b.cfg.Index))).ExpFloat64() / w.near
 }
 
--- a/internal/virtual/fleet.go
+++ b/internal/virtual/fleet.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,13 +33,18 @@
 	Span        float64
 	Quota       float64 // of the one tenant, jobs a second; 0: all that comes
 	Blind       bool    // no reports and no probes
+	Wide        float64 // part of the jobs that take four slots, and must not run twice
+	Keep        float64 // an idle connection is used again for so long
+	OwnNames    bool    // each dispatcher knows the workers by other ids, so that no order is shared
 }
 
 // FleetResult is what came of it. Digest, and all but the last three figures,
 // depend on the settings alone.
 type FleetResult struct {
 	Jobs, InTime, Late, Refused, Failed int
-	Attempts                            int
+	Attempts, Probes, Dials             int
+	Wide, WideInTime                    int       // jobs of four slots
+	Connections                         int       // at the worker that has most, when the last job comes
 	Ideal                               int       // in time where one queue sees all and nothing takes a way
 	Took                                []float64 // of those that were served, s
 	Digest                              uint64
@@ -57,6 +64,7 @@
 	index   map[string]int
 	all     []*fleetDispatcher
 	shards  []fleetShard
+	crowded int
 }
 
 // order is a message to a worker.
@@ -78,6 +86,7 @@
 	owner  int
 	born   float64
 	work   float64
+	slots  float64
 	tries  []int // workers
 	out    map[int]bool
 	closed bool
@@ -96,9 +105,55 @@
 	sum    *xxhash.Digest
 	cpu    time.Duration
 	n      int
+	links  map[int]*links // by worker
 	FleetResult
 }
 
+// links are a dispatcher's connections to one worker.
+type links struct {
+	busy int
+	idle []float64 // since when
+}
+
+// take uses a connection, the one that was used last, or dials.
+func (d *fleetDispatcher) take(w int, now, keep float64) {
+	l := d.links[w]
+	if l == nil {
+		l = &links{}
+		d.links[w] = l
+	}
+	for len(l.idle) > 0 && l.idle[0] < now-keep {
+		l.idle = l.idle[1:]
+	}
+	if n := len(l.idle); n > 0 {
+		l.idle = l.idle[:n-1]
+	} else {
+		d.Dials++
+	}
+	l.busy++
+}
+
+// put gives a connection back, or closes it.
+func (d *fleetDispatcher) put(w int, now float64, closed bool) {
+	l := d.links[w]
+	if l.busy--; !closed {
+		l.idle = append(l.idle, now)
+	}
+}
+
+// name is what a dispatcher calls a worker, at whom it means.
+func (f *Fleet) name(d, w int) string {
+	if f.OwnNames {
+		return f.names[w] + "@" + strconv.Itoa(d)
+	}
+	return f.names[w]
+}
+
+func (f *Fleet) at(name string) int {
+	name, _, _ = strings.Cut(name, "@")
+	return f.index[name]
+}
+
 // shards is fixed: the order of events follows from it, and so the result.
 const shards = 16
 
@@ -111,15 +166,13 @@
 // NewFleet makes a fleet of warm workers that every dispatcher knows.
 func NewFleet(s FleetSettings) (*Fleet, error) {
 	f := &Fleet{FleetSettings: s, index: map[string]int{}, now: 100}
-	var list []balance.WorkerInfo
 	for i := range s.Workers {
 		f.workers = append(f.workers, emulator.New(emulator.Settings{Slots: s.Slots, Queue: int(2 * s.Slots)}, nil))
 		f.names = append(f.names, fmt.Sprintf("w-%04d", i))
 		f.index[f.names[i]] = i
-		list = append(list, balance.WorkerInfo{ID: f.names[i], Zone: fmt.Sprint("z", i%4), State: balance.Running})
 	}
 	if s.Quota == 0 {
-		s.Quota = s.Load * float64(s.Workers) * s.Slots / s.Mean
+		s.Quota = s.Load * float64(s.Workers) * s.Slots / s.Mean / (1 + 3*s.Wide)
 	}
 	for i := range s.Dispatchers {
 		cfg := balance.Config{Index: i, Dispatchers: s.Dispatchers, Zone: fmt.Sprint("z", i%4),
@@ -130,11 +183,19 @@
 		if s.Blind {
 			cfg.ReportFields = nil
 		}
+		if s.Wide > 0 { // which one kind of machine runs, as it is at our site: so all workers are looked at
+			cfg.Classes[0].Worth = 5
+			cfg.Classes = append(cfg.Classes, balance.Class{Name: "wide", Aim: s.Aim, Deadline: s.Patience, Worth: 10, Repeat: balance.Unsafe, Kind: "k"})
+		}
+		var list []balance.WorkerInfo
+		for w := range s.Workers {
+			list = append(list, balance.WorkerInfo{ID: f.name(i, w), Kind: "k", Zone: fmt.Sprint("z", w%4), State: balance.Running})
+		}
 		b, err := balance.New(cfg, s.Seed+uint64(i))
 		if err != nil {
 			return nil, err
 		}
-		d := &fleetDispatcher{no: i, bal: b, rng: rand.New(rand.NewPCG(s.Seed, uint64(i))), jobs: map[string]*fleetJob{}, sum: xxhash.New()}
+		d := &fleetDispatcher{no: i, bal: b, rng: rand.New(rand.NewPCG(s.Seed, uint64(i))), jobs: map[string]*fleetJob{}, links: map[int]*links{}, sum: xxhash.New()}
 		d.events = []balance.Event{balance.RosterUpdate{Kind: balance.RosterSaved, Workers: list}}
 		f.all = append(f.all, d)
 	}
@@ -180,9 +241,10 @@
 		if f.now < end && f.now+f.Tick >= end {
 			runtime.GC()
 			runtime.ReadMemStats(&after)
+			f.crowd()
 		}
 	}
-	r := FleetResult{Wall: time.Since(began), Ideal: ideal.inTime}
+	r := FleetResult{Wall: time.Since(began), Ideal: ideal.inTime, Connections: f.crowded}
 	if after.HeapAlloc > before.HeapAlloc {
 		r.Heap = after.HeapAlloc - before.HeapAlloc
 	}
@@ -191,12 +253,24 @@
 		r.Jobs, r.InTime, r.Late, r.Refused, r.Failed = r.Jobs+d.Jobs, r.InTime+d.InTime, r.Late+d.Late, r.Refused+d.Refused, r.Failed+d.Failed
 		r.Took = append(r.Took, d.Took...)
 		r.Attempts, r.CPU = r.Attempts+d.Attempts, r.CPU+d.cpu
+		r.Probes, r.Dials, r.Wide, r.WideInTime = r.Probes+d.Probes, r.Dials+d.Dials, r.Wide+d.Wide, r.WideInTime+d.WideInTime
 		binary.Write(sum, binary.LittleEndian, d.sum.Sum64())
 	}
 	r.Digest = sum.Sum64()
 	return r
 }
 
+// crowd counts the connections at the worker that has most.
+func (f *Fleet) crowd() {
+	open := make([]int, f.Workers)
+	for _, d := range f.all {
+		for w, l := range d.links {
+			open[w] += l.busy + len(l.idle)
+		}
+	}
+	f.crowded = slices.Max(open)
+}
+
 // decide plays a tick of one dispatcher: what has come to it, then its decisions.
 func (f *Fleet) decide(d *fleetDispatcher, arrivals bool) {
 	for i := range f.shards {
@@ -204,11 +278,17 @@
 		f.shards[i].out[d.no] = f.shards[i].out[d.no][:0]
 	}
 	for _, e := range d.events {
+		if e, ok := e.(balance.ProbeDone); ok {
+			d.put(f.at(e.Worker), f.now, false)
+		}
 		if e, ok := e.(balance.AttemptDone); ok {
 			j := d.jobs[e.ID]
 			if j == nil {
 				continue
 			}
+			if j.out[e.Attempt] {
+				d.put(j.tries[e.Attempt], f.now, false)
+			}
 			delete(j.out, e.Attempt)
 			if e.Outcome == balance.Served && !j.closed {
 				d.end(f, j, 'S')
@@ -222,6 +302,7 @@
 		if !j.closed {
 			for k := range len(j.tries) {
 				if j.out[k] {
+					d.put(j.tries[k], f.now, true)
 					d.orders = append(d.orders, order{j.tries[k], cancel, j, k})
 					d.events = append(d.events, balance.AttemptDone{ID: j.id, Attempt: k, Worker: f.names[j.tries[k]], Outcome: balance.TimedOut})
 				}
@@ -230,14 +311,19 @@
 		}
 	}
 	if arrivals {
-		rate := f.Load * float64(f.Workers) * f.Slots / f.Mean / float64(f.Dispatchers)
+		rate := f.Load * float64(f.Workers) * f.Slots / f.Mean / float64(f.Dispatchers) / (1 + 3*f.Wide)
 		for range Poisson(d.rng, rate*f.Tick) {
 			d.n++
 			d.Jobs++
-			j := &fleetJob{id: strconv.Itoa(d.no) + "-" + strconv.Itoa(d.n), owner: d.no, born: f.now, work: d.rng.ExpFloat64() * f.Mean, out: map[int]bool{}}
+			j := &fleetJob{id: strconv.Itoa(d.no) + "-" + strconv.Itoa(d.n), owner: d.no, born: f.now, work: d.rng.ExpFloat64() * f.Mean, slots: 1, out: map[int]bool{}}
+			class := "job"
+			if f.Wide > 0 && d.rng.Float64() < f.Wide {
+				class, j.slots = "wide", 4
+				d.Wide++
+			}
 			d.jobs[j.id] = j
 			d.queue, d.came = append(d.queue, j), append(d.came, j)
-			d.events = append(d.events, balance.JobArrived{ID: j.id, Class: "job", Tenant: "t", Left: f.Patience, Slots: 1})
+			d.events = append(d.events, balance.JobArrived{ID: j.id, Class: class, Tenant: "t", Left: f.Patience, Slots: j.slots})
 		}
 	}
 	kept := d.timers[:0]
@@ -261,19 +347,23 @@
 		switch a := a.(type) {
 		case balance.Send:
 			if j := d.jobs[a.ID]; j != nil {
-				k, w := len(j.tries), f.index[a.Worker]
+				k, w := len(j.tries), f.at(a.Worker)
+				d.take(w, f.now, f.Keep)
 				j.tries, j.out[k] = append(j.tries, w), true
 				d.Attempts++
 				d.orders = append(d.orders, order{w, send, j, k})
 			}
 		case balance.Cancel:
 			if j := d.jobs[a.ID]; j != nil && j.out[a.Attempt] {
+				d.put(j.tries[a.Attempt], f.now, true)
 				delete(j.out, a.Attempt)
 				d.orders = append(d.orders, order{j.tries[a.Attempt], cancel, j, a.Attempt})
 				d.events = append(d.events, balance.AttemptDone{ID: j.id, Attempt: a.Attempt, Worker: f.names[j.tries[a.Attempt]], Outcome: balance.Cancelled})
 			}
 		case balance.Probe:
-			d.orders = append(d.orders, order{f.index[a.Worker], probe, nil, 0})
+			d.Probes++
+			d.take(f.at(a.Worker), f.now, f.Keep)
+			d.orders = append(d.orders, order{f.at(a.Worker), probe, nil, 0})
 		case balance.SetTimer:
 			d.timers = append(d.timers, f.now+a.After)
 		case balance.Refuse:
@@ -300,7 +390,9 @@
 	case how == 'F':
 		d.Failed++
 	case f.now-j.born <= f.Aim:
-		d.InTime++
+		if d.InTime++; j.slots > 1 {
+			d.WideInTime++
+		}
 	default:
 		d.Late++
 	}
@@ -345,7 +437,7 @@
 			switch o.kind {
 			case send:
 				advance(o.worker)
-				if w.Take(f.now, emulator.Job{ID: o.job.id, Slots: 1, Work: o.job.work}) != emulator.Taken {
+				if w.Take(f.now, emulator.Job{ID: o.job.id, Slots: o.job.slots, Work: o.job.work}) != emulator.Taken {
 					tell(o.job, balance.AttemptDone{ID: o.job.id, Attempt: o.try, Worker: f.names[o.worker], Outcome: balance.Full, Report: report(w)})
 					continue
 				}
@@ -354,7 +446,7 @@
 				w.Cancel(f.now, o.job.id)
 				delete(s.jobs, o.job.id)
 			case probe:
-				s.out[d.no] = append(s.out[d.no], balance.ProbeDone{Worker: f.names[o.worker], Outcome: balance.Served, Report: report(w)})
+				s.out[d.no] = append(s.out[d.no], balance.ProbeDone{Worker: f.name(d.no, o.worker), Outcome: balance.Served, Report: report(w)})
 			}
 		}
 	}
