--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -184,3 +184,72 @@
 		t.Errorf("%d of %d jobs went to workers that have just told of room, want a third", told, n)
 	}
 }
+
+// Most of a fleet starts at once on an old list while discovery turns callers away. All serve from
+// the list, and their calls spread: they don't come again in step.
+func TestHerdSpreadsItsCalls(t *testing.T) {
+	cfg := base()
+	cfg.Dispatchers, cfg.AskRoster, cfg.AskEvery, cfg.Tenants[0].Quota = 80, true, 10, 4000
+	var rigs []*rig
+	for i := range 80 {
+		cfg.Index = i
+		b, err := New(cfg, uint64(1000+i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, b: b, now: 100}
+		r.step(RosterUpdate{Kind: RosterSaved, Workers: fleet(20)})
+		rigs = append(rigs, r)
+	}
+	calls, worst, later, sent := make([]int, 2000), 0, 0, 0 // by tenth of a second
+	for tick := range len(calls) {
+		now := 100 + 0.1*float64(tick+1)
+		for _, r := range rigs {
+			var ev []Event
+			if tick == 5 {
+				ev = append(ev, r.job("read", "a"))
+			}
+			acts := r.at(now, append(ev, TimerFired{})...)
+			for len(acts) > 0 {
+				sent += len(of[Send](acts))
+				var answers []Event
+				for _, p := range of[Probe](acts) {
+					answers = append(answers, r.report(p.Worker, 3))
+				}
+				if n := len(of[Subscribe](acts)); n > 0 {
+					calls[tick] += n
+					if now < 130 { // then discovery bears calls again
+						answers = append(answers, RosterUpdate{Kind: RosterFailed})
+					} else {
+						answers = append(answers, RosterUpdate{Kind: RosterFull, Workers: fleet(20)})
+					}
+				}
+				if acts = nil; len(answers) > 0 {
+					acts = r.step(answers...)
+				}
+			}
+		}
+		if second := tick - 9; second >= 0 {
+			sum := 0
+			for _, n := range calls[second : tick+1] {
+				sum += n
+			}
+			if worst = max(worst, sum); now > 110 && now < 130 {
+				later = max(later, sum)
+			}
+		}
+	}
+	total := 0
+	for _, n := range calls {
+		total += n
+	}
+	t.Logf("%d calls, %d in the worst second, %d once it lasts; %d of 80 jobs sent", total, worst, later, sent)
+	if worst > 80 || later > 40 || sent != 80 {
+		t.Errorf("%d calls in the worst second and %d once it lasts, want one a dispatcher and half of that at most; %d of 80 jobs sent", worst, later, sent)
+	}
+	for i, r := range rigs {
+		if !r.b.roster.subscribed {
+			t.Errorf("dispatcher %d has no list 170 s after discovery is back", i)
+		}
+	}
+}
