Mark on a request that its client has left, before the loop hears of it

Cause: what a hop could ask right before its first byte is what the loop knew when it decided. A client's leaving stands in the loop's queue meanwhile, or waits for a place in it. Change: Request.Leave marks the request the moment ingress sees the client's end, and Left may be asked from any goroutine. Desk.Leave is told after it; the test's desk holds that order.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -19,7 +19,12 @@
 }
 
 func (d *desk) Arrive(r *Request) { d.arrivals <- r }
-func (d *desk) Leave(r *Request)  { d.leaves <- r }
+func (d *desk) Leave(r *Request) {
+	if !r.Left() {
+		panic("told of a client's leaving that the request does not know of")
+	}
+	d.leaves <- r
+}
 func (d *desk) Ready() bool       { return !d.Ending() }
 func (d *desk) Ending() bool      { return d.ending.Load() }
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,8 +34,16 @@
 	// Answer gives the one final answer. It must be called once for every
 	// request taken whose client has not left, and does not wait.
 	Answer func(Answer)
+	left   atomic.Bool
 }
 
+// Leave marks that the client has left. It may be called from any goroutine, and again.
+func (r *Request) Leave() { r.left.Store(true) }
+
+// Left says whether Leave was called: nothing of the request is to be sent on
+// from then on, though the loop may not have heard of it yet. Any goroutine may ask.
+func (r *Request) Left() bool { return r.left.Load() }
+
 // Answer is what a client is told in the end.
 type Answer struct {
 	Status     int
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -402,6 +402,7 @@
 	case a = <-answer:
 	case err := <-next:
 		if err != nil {
+			q.Leave() // at once: the desk may be busy for a while
 			s.desk.Leave(q)
 			return false, errLeft
 		}
