Give an attempt that was stopped before its first byte an outcome of its own

Cause: Order.Barred ends a hop right before its first byte, but no outcome says just that. Full has the module take the worker for busy, and where Full proves nothing (rules.full_unproven) an unsafe job that was never sent fails; Unreachable has the worker probed; Void ends the job. Change: balance.Barred proves that the job never ran, blames nobody, and the job goes out again while it has attempts left (so that a bar which the module never hears of has an end). Seats of shards take it as unrun. The repeat rules are now tested for Stale too: it counts as may have run for each effect, so an unsafe job is not sent again (nothing had to be changed there). Result: without the line in settle TestBarredAttemptNeverRan is red at balance_test.go:217 "1 attempts were barred: sent []" and TestRepeatRules at :201 "write after barred: fail, want send"; both pass with it.

--- a/balance/api.go
+++ b/balance/api.go
@@ -118,7 +118,7 @@
 // Outcome is how an attempt or a probe ended.
 type Outcome string
 
-// The outcomes. Unreachable and Void prove that the job never ran, and so does
+// The outcomes. Unreachable, Void and Barred prove that the job never ran, and so does
 // Full, unless Config.FullMayHaveRun is set.
 const (
 	Served      Outcome = "served"
@@ -130,6 +130,7 @@
 	Stale       Outcome = "stale" // broken, but on a connection used before: nothing speaks against the worker
 	Cancelled   Outcome = "cancelled"
 	Void        Outcome = "void"
+	Barred      Outcome = "barred" // stopped before it was sent, as things had changed: nothing speaks against the worker
 )
 
 // AttemptDone ends an attempt. Each Send gets exactly one.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -707,7 +707,7 @@
 		b.helped.add(map[Outcome]float64{Served: 1}[e.Outcome])
 	}
 	b.judge(w, a, e.Outcome)
-	if e.Outcome == Full || e.Outcome == Unreachable || e.Outcome == Void {
+	if e.Outcome == Full || e.Outcome == Unreachable || e.Outcome == Void || e.Outcome == Barred {
 		b.charge(j.tenant, -j.size(), a.local)
 		j.mayRan = j.mayRan || e.Outcome == Full && b.cfg.FullMayHaveRun
 	} else {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -176,6 +176,8 @@
 		{"write", Errored, "fail"}, {"write", Broken, "fail"}, {"write", TimedOut, "fail"},
 		{"write", Unreachable, "wait"}, {"write", Full, "wait"},
 		{"read", Errored, "send"}, {"put", Errored, "send"},
+		{"write", Stale, "fail"}, {"read", Stale, "send"}, {"put", Stale, "send"}, // it may have run
+		{"write", Barred, "send"},
 	} {
 		r := newRig(t, base(), append(up("v", "w"), WorkerInfo{ID: "far", Zone: "there", State: Running})...)
 		s := of[Send](r.step(r.job(c.class, "a"), r.report("v", 1)))[0]
@@ -201,6 +203,29 @@
 	}
 }
 
+// An attempt that was stopped before its first byte proves that the job never ran, by any settings:
+// it goes out again, to the same worker too, or is refused once its attempts are used up.
+func TestBarredAttemptNeverRan(t *testing.T) {
+	cfg := base()
+	cfg.FullMayHaveRun = true
+	r := newRig(t, cfg, up("w")...)
+	s := of[Send](r.step(r.job("write", "a"), r.report("w", 1)))
+	ta := r.b.byName["a"]
+	local, global := ta.local, ta.global
+	for n := range cfg.MaxAttempts {
+		if len(s) != 1 || s[0].Worker != "w" {
+			t.Fatalf("%d attempts were barred: sent %v", n, s)
+		}
+		if math.Abs(ta.local-local) > 1e-9 || math.Abs(ta.global-global) > 1e-9 {
+			t.Errorf("tags %v and %v, were %v and %v", ta.local, ta.global, local, global)
+		}
+		s = of[Send](r.step(done(s[0], n, Barred)))
+	}
+	if len(s) > 0 || len(of[Refuse](r.acts)) != 1 || len(of[Probe](r.acts)) > 1 || r.b.byID["w"].down {
+		t.Errorf("sent %v, all %v", s, r.acts)
+	}
+}
+
 func TestKeyedNotRepeatedAfterWindow(t *testing.T) {
 	r := newRig(t, base(), up("v", "w")...)
 	s := of[Send](r.step(r.job("put", "a"), r.report("v", 1)))[0]
--- a/balance/failures_test.go
+++ b/balance/failures_test.go
@@ -195,7 +195,7 @@
 			}
 		}
 	}
-	outcomes := []Outcome{Served, Served, Served, Errored, Full, Unreachable, Broken}
+	outcomes := []Outcome{Served, Served, Served, Errored, Full, Unreachable, Broken, Stale, Barred}
 	for i := range steps {
 		r.now += rng.Float64() * 0.3
 		var ev []Event
@@ -235,7 +235,7 @@
 			}
 			out = append(out[:k], out[k+1:]...)
 			k--
-			if o == Full || o == Unreachable {
+			if o == Full || o == Unreachable || o == Barred {
 				still := false
 				for _, x := range out {
 					still = still || x.s.ID == id
--- a/internal/seating/step.go
+++ b/internal/seating/step.go
@@ -213,7 +213,7 @@
 
 // finished books the end of an attempt.
 func (r *Router) finished(now float64, o *own, e balance.AttemptDone) {
-	ran := e.Outcome != balance.Unreachable && e.Outcome != balance.Void && (e.Outcome != balance.Full || r.full)
+	ran := e.Outcome != balance.Unreachable && e.Outcome != balance.Void && e.Outcome != balance.Barred && (e.Outcome != balance.Full || r.full)
 	answered := e.Closed || e.Outcome == balance.Served
 	sh := o.sh
 	sh.Lock()
