Send nothing on for a client that has left while its leave is on its way to the loop

Cause: a leave is a post. While it stands in the queue (or waits for a place there) the loop starts what the module decided, and a hop that waits for a slow dial writes when it comes up; the end of an attempt that is posted ahead of the leave brings on another. Abandon was checked and is complete: it cancels a dial, hold refuses a connection that came too late, a write on a closed connection fails, and the second try looks first. Change: the loop asks Request.Left before it starts a hop and as it takes the end of one, and then closes the request itself; the hop asks in Barred right before its first byte. FuzzRequests plays leaves that come late, hops that look once more, and stale ends.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -409,9 +409,8 @@
 	case arrived:
 		d.arrive(p.req)
 	case left:
-		if h := d.held[p.req.ID]; h != nil && h.req == p.req && !h.answered {
-			d.events = append(d.events, balance.JobGone{ID: p.req.ID})
-			d.close(h, waiting.Left)
+		if h := d.held[p.req.ID]; h != nil && h.req == p.req {
+			d.gone(h)
 		}
 	case hopNews:
 		d.hop(p)
@@ -498,6 +497,14 @@
 		Left: left, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Fresh: waited})
 }
 
+// gone closes a request whose client has left, once.
+func (d *Dispatcher) gone(h *held) {
+	if !h.answered {
+		d.events = append(d.events, balance.JobGone{ID: h.req.ID})
+		d.close(h, waiting.Left)
+	}
+}
+
 // hop takes news of an attempt. News that comes after the attempt was ended
 // from here finds no hop and is dropped.
 func (d *Dispatcher) hop(p hopNews) {
@@ -509,9 +516,12 @@
 		return
 	}
 	p.h.hops[p.n] = nil
+	if p.h.req.Left() { // its leave is on its way here: what the module hears of this attempt must not bring on another
+		d.gone(p.h)
+	}
 	if p.news.Outcome == balance.Served {
 		d.answer(p.h, ingress.Answer{Status: http.StatusOK, Body: p.news.Result})
-	} else if p.news.Outcome != balance.Full {
+	} else if p.news.Outcome != balance.Full && !p.h.answered {
 		d.Log("request %s: hop %d to %s: %s (%s)", p.h.req.ID, p.n, p.host, p.news.Outcome, p.news.Why)
 	}
 	d.outcome(p.h, p.n, p.news.Outcome, p.news.Report)
@@ -527,7 +537,7 @@
 
 func (d *Dispatcher) outcome(h *held, n int, o balance.Outcome, report []float64) {
 	h.hops[n] = nil
-	if d.Counter != nil && (o == balance.Full || o == balance.Unreachable || o == balance.Void) {
+	if d.Counter != nil && (o == balance.Full || o == balance.Unreachable || o == balance.Void || o == balance.Barred) {
 		d.Counter.Back(h.req.Tenant, h.size()) // as the module does with its tags
 	}
 	d.events = append(d.events, balance.AttemptDone{ID: h.req.ID, Attempt: n, Outcome: o, Closed: h.answered, Report: report})
@@ -628,6 +638,11 @@
 		return
 	}
 	n := len(h.hops)
+	if h.req.Left() { // its leave is on its way here
+		d.gone(h)
+		d.events = append(d.events, balance.AttemptDone{ID: a.ID, Attempt: n, Outcome: balance.Barred, Closed: true})
+		return
+	}
 	if n == 0 {
 		d.firstHop(h)
 	}
@@ -643,7 +658,12 @@
 	by := d.ruling
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
 		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields(),
-		Barred: func() balance.Outcome { return d.barred(a.Worker, n > 0, by) }}
+		Barred: func() balance.Outcome {
+			if h.req.Left() {
+				return balance.Barred
+			}
+			return d.barred(a.Worker, n > 0, by)
+		}}
 	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
 }
 
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -71,9 +71,10 @@
 }
 
 type hopModel struct {
-	j    *jobModel
-	tell func(egress.News)
-	over bool
+	j     *jobModel
+	order *egress.Order
+	tell  func(egress.News)
+	over  bool
 }
 
 // Abandon is how the dispatcher ends a hop.
@@ -96,7 +97,7 @@
 	switch {
 	case j.out != nil:
 		r.t.Fatalf("%s: two attempts out at once", o.ID)
-	case len(j.answers) > 0 || j.left:
+	case len(j.answers) > 0 || j.left || j.req.Left():
 		r.t.Fatalf("%s: sent after its end", o.ID)
 	case j.req.Class == "unsafe" && j.mayRan:
 		r.t.Fatalf("%s: sent again though it may have run", o.ID)
@@ -111,7 +112,7 @@
 	if at := j.sent.Add(j.req.Hold); at.After(r.now) {
 		r.t.Fatalf("%s: sent %v before its time", o.ID, at.Sub(r.now))
 	}
-	h := &hopModel{j: j, tell: tell}
+	h := &hopModel{j: j, order: o, tell: tell}
 	j.out, j.hops, r.out = h, j.hops+1, append(r.out, h)
 	r.ran++
 	r.orders = append(r.orders, o)
@@ -197,7 +198,7 @@
 	return j
 }
 
-var outcomes = []balance.Outcome{balance.Served, balance.Errored, balance.Full, balance.Unreachable, balance.Broken}
+var outcomes = []balance.Outcome{balance.Served, balance.Errored, balance.Full, balance.Unreachable, balance.Broken, balance.Stale}
 
 // FuzzRequests plays random steps of clients, targets, discovery and time
 // against the rules: one answer in time for each request, one attempt at a
@@ -241,6 +242,9 @@
 			case 7: // a client leaves
 				if len(r.jobs) > 0 {
 					if j := r.jobs[arg%len(r.jobs)]; len(j.answers) == 0 && !j.left {
+						if j.req.Leave(); arg >= 8 { // the loop decides before it hears of that
+							r.pass(4 * time.Millisecond)
+						}
 						j.left = true
 						r.take(left{j.req})
 						if j.out != nil {
@@ -248,6 +252,19 @@
 						}
 					}
 				}
+			case 15: // a hop has got its connection, and looks once more
+				if len(r.out) > 0 {
+					h := r.out[arg%len(r.out)]
+					barred := h.order.Barred()
+					if h.j.req.Left() && barred == "" {
+						t.Fatal("the request of a client that has left goes out")
+					}
+					if !h.over && barred != "" {
+						r.ran--
+						h.end(false)
+						h.tell(egress.News{Outcome: barred})
+					}
+				}
 			case 8:
 				for _, tell := range r.probes {
 					tell(egress.News{Outcome: outcomes[arg%len(outcomes)], Report: []float64{2}})
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -192,7 +192,7 @@
 func (o *Order) play(c *conn, by time.Time, tell func(News)) (end News, clean bool) {
 	if o.Barred != nil {
 		if end := o.Barred(); end != "" {
-			return News{Outcome: end, Why: "barred while the hop was under way: its worker is left out, or other rules hold"}, false
+			return News{Outcome: end, Why: "barred while the hop was under way: its client has left, its worker is left out, or other rules hold"}, false
 		}
 	}
 	c.SetWriteDeadline(by.Add(late))
