Write nothing to a worker of which discovery has told something else since the decision

Cause: for drains a send counts from its first byte, and a hop may wait up to caps.dial_timeout for its connection, twice looked for. Meanwhile its worker may be told to drain, leave the list, start anew (it is cold then, and was booked as warm) or be listed elsewhere under its id. Barred looked at operators and agreed rules only, so the request was written all the same; where the dial limit is longer than rules.drain_grace that breaks the rule on drains. Change: the loop hands each hop the route.Way of its target, one atomic flag that Table.Apply shuts for good at such news. A list that says the same again, or of others, shuts nothing. A hop that finds it shut ends as Barred: the job goes elsewhere. A repeat that other rules bar ends as Barred too, since Full proves nothing where rules.full_unproven is set.

--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -1,11 +1,13 @@
 package dispatcher
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/route"
 )
 
 // A client's leaving stands in the loop's queue, behind what has the module send: no attempt begins, the
@@ -43,3 +45,52 @@
 		t.Errorf("%d held, %v slots counted", len(r.held), r.counted.net)
 	}
 }
+
+// While a hop waits for its connection discovery tells of its worker. What was decided for the worker as
+// it stood is not written to it any more: the job never ran, and goes elsewhere.
+func TestListChangesUnderAHop(t *testing.T) {
+	for _, c := range []struct {
+		name, hosts string
+		bars        bool
+	}{
+		{"the same again", `"whole":true,"hosts":[{"host":"a","dial":"1:1","site":"z","class":"k","health":"active"},{"host":"b","dial":"1:2","site":"z","class":"k","health":"active"}]`, false},
+		{"the others change", `"hosts":[{"host":"c","dial":"1:3","site":"z","class":"k","health":"active"}]`, false},
+		{"it drains", `"hosts":[{"host":"W","dial":"A","site":"z","class":"k","health":"leaving"}]`, true},
+		{"it has left", `"hosts":[{"host":"W","health":"left"}]`, true},
+		{"it is not named any more", `"whole":true,"hosts":[{"host":"c","dial":"1:3","site":"z","class":"k","health":"active"}]`, true},
+		{"it is elsewhere", `"hosts":[{"host":"W","dial":"1:9","site":"z","class":"k","health":"active"}]`, true},
+		{"another process is there", `"hosts":[{"host":"W","dial":"A","site":"z","class":"k","health":"active","born_ms":1000000000000}]`, true},
+	} {
+		r := newRig(t)
+		j := r.runs("1", "unsafe")
+		o := r.orders[0]
+		worker, other := "a", "b"
+		if r.addrs[0] == "1:2" {
+			worker, other = other, worker
+		}
+		u, err := route.Parse([]byte(`{"seq":2,` + strings.NewReplacer(`"W"`, `"`+worker+`"`, `"A"`, `"`+r.addrs[0]+`"`).Replace(c.hosts) + `}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.take(routeNews{watch: r.watchNo, up: u})
+		end := o.Barred()
+		if want := map[bool]balance.Outcome{true: balance.Barred}[c.bars]; end != want {
+			t.Errorf("%s: barred as %q, want %q", c.name, end, want)
+		}
+		if end == "" {
+			continue
+		}
+		j.out.end(false)
+		r.take(hopNews{r.held["1"], 0, worker, egress.News{Outcome: end}})
+		for range 5 {
+			r.pass(20 * time.Millisecond)
+			for _, tell := range r.probes {
+				tell(egress.News{Outcome: balance.Served, Report: []float64{3}})
+			}
+			r.probes = nil
+		}
+		if len(r.orders) != 2 || r.orders[1].Barred() != "" || len(j.answers) > 0 {
+			t.Errorf("%s: %d attempts, answers %v", c.name, len(r.orders), j.answers)
+		}
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -649,8 +649,8 @@
 	if d.Counter != nil {
 		d.Counter.Start(h.req.Tenant, h.size())
 	}
-	addr, ok := d.table.Dial(a.Worker)
-	if !ok {
+	way := d.table.Way(a.Worker)
+	if way == nil {
 		h.hops = append(h.hops, nil)
 		d.outcome(h, n, balance.Unreachable, nil)
 		return
@@ -659,12 +659,12 @@
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
 		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields(),
 		Barred: func() balance.Outcome {
-			if h.req.Left() {
+			if h.req.Left() || way.Shut() {
 				return balance.Barred
 			}
 			return d.barred(a.Worker, n > 0, by)
 		}}
-	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
+	h.hops = append(h.hops, d.Egress.Start(o, way.Addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
 }
 
 // subscribe starts a watch, in place of one that may still be open.
--- a/internal/dispatcher/ruled.go
+++ b/internal/dispatcher/ruled.go
@@ -86,7 +86,7 @@
 	case d.Out(worker), r != nil && r.Out[worker]:
 		return balance.Unreachable
 	case repeat && r != by:
-		return balance.Full
+		return balance.Barred
 	}
 	return ""
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 
 	"github.com/tidwall/gjson"
 
@@ -61,9 +62,29 @@
 const forget = 900.0
 
 type target struct {
-	dial   string
-	gone   bool
-	goneAt float64
+	dial    string
+	started float64
+	way     *Way // nil: nobody has asked since it was shut
+	gone    bool
+	goneAt  float64
+}
+
+// Way is a target as it stood listed when somebody asked for it. It is shut for good by the first
+// list that has the target drain, leave, start anew or be elsewhere.
+type Way struct {
+	Addr string
+	shut atomic.Bool
+}
+
+// Shut says that what was decided for the target as it stood may not hold any more. Any
+// goroutine may ask.
+func (w *Way) Shut() bool { return w.shut.Load() }
+
+func (x *target) shut() {
+	if x.way != nil {
+		x.way.shut.Store(true)
+		x.way = nil
+	}
 }
 
 // Table says where each egress target is dialled. It has one owner.
@@ -102,6 +123,18 @@
 	return "", false
 }
 
+// Way is the way to a target as it is listed now; nil for one never listed.
+func (t *Table) Way(host string) *Way {
+	x := t.targets[host]
+	if x == nil {
+		return nil
+	}
+	if x.way == nil {
+		x.way = &Way{Addr: x.dial}
+	}
+	return x.way
+}
+
 // Apply takes in an update and returns the addresses to which idle
 // connections are of no more use.
 func (t *Table) Apply(u *Update, now float64) (closed []string) {
@@ -119,6 +152,11 @@
 		}
 		if x.dial != "" && (e.State != balance.Running || e.Dial != x.dial) {
 			closed = append(closed, x.dial)
+			x.shut()
+		}
+		if e.Started > x.started { // another process
+			x.started = e.Started
+			x.shut()
 		}
 		if e.Dial != "" {
 			x.dial = e.Dial
@@ -131,6 +169,7 @@
 		if u.Whole && !named[host] && !x.gone {
 			x.gone, x.goneAt = true, now
 			closed = append(closed, x.dial)
+			x.shut()
 		}
 		if x.gone && now > x.goneAt+forget {
 			delete(t.targets, host)
