Have a request out whole by its deadline and within the window for repeats, or not at all

Cause: mayRepeat looks at the window, and the loop at the deadline, when a hop is decided. The hop may then wait up to the dial limit, and a second time for the write to a worker that does not read; an attempt counts when its last byte has arrived. So a keyed repeat that was decided at the end of the window was written behind it, and a request whose loop is held up went out behind its deadline. Change: Order.Until bounds first byte and write. The loop takes it from the deadline and, for repeats of a keyed class, from the window, counted from the decision of the first attempt that may have run (which is before it was at its worker, so there is room for the way). Past it the hop ends as Barred, and the module fails or refuses the job by its own rule.

--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -94,3 +94,40 @@
 		}
 	}
 }
+
+// A repeat of a keyed job counts when it is at its worker, and the window begins when the first attempt
+// that may have run was: one that waits for its connection meanwhile is out by the end of that window, or not at all.
+func TestKeyedRepeatIsOutWithinTheWindow(t *testing.T) {
+	for _, c := range []struct {
+		class, first string
+		window       bool
+	}{{"keyed", "broken", true}, {"keyed", "stale", true}, {"keyed", "full", false}, {"keyed", "unreachable", false}, {"safe", "broken", false}} {
+		r := newRig(t)
+		j := r.runs("1", c.class)
+		decided := r.last
+		if first := r.orders[0]; !first.Until.Equal(first.Deadline) {
+			t.Errorf("%v: the first attempt has until %v", c, first.Until)
+		}
+		r.take(hopNews{r.held["1"], 0, "", egress.News{}})
+		r.pass(100 * time.Millisecond)
+		j.out.end(c.first != "full" && c.first != "unreachable")
+		r.take(hopNews{r.held["1"], 0, "", egress.News{Outcome: balance.Outcome(c.first)}})
+		for len(r.orders) == 1 && r.now.Before(j.sent.Add(5*time.Second)) {
+			r.pass(20 * time.Millisecond)
+			for _, tell := range r.probes {
+				tell(egress.News{Outcome: balance.Served, Report: []float64{3}})
+			}
+			r.probes = nil
+		}
+		if len(r.orders) != 2 {
+			t.Fatalf("%v: %d attempts, answers %v", c, len(r.orders), j.answers)
+		}
+		want := r.orders[1].Deadline
+		if c.window {
+			want = r.time(decided + 9)
+		}
+		if got := r.orders[1].Until; got.Sub(want).Abs() > time.Microsecond {
+			t.Errorf("%v: out by %v after the first, want %v", c, got.Sub(r.time(decided)), want.Sub(r.time(decided)))
+		}
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -152,6 +152,9 @@
 	offered  float64       // when it came to the module
 	step     uint64        // the step that took it in; 0: it waits for others or for a time
 	promised float64       // its longest wait for a first hop; 0: none
+	window   float64       // in which it may go out again once it may have run; 0: as often as the module says
+	sent     float64       // when its last hop was decided
+	ran      float64       // the same of the first that may have run; 0: none
 }
 
 func (h *held) out() bool {
@@ -471,7 +474,7 @@
 	if d.noteIDs != nil {
 		(*d.noteIDs)([]string{strings.Clone(r.ID)})
 	}
-	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout))}
+	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), window: d.window(r.Class)}
 	if !d.admit(h) {
 		return
 	}
@@ -537,9 +540,13 @@
 
 func (d *Dispatcher) outcome(h *held, n int, o balance.Outcome, report []float64) {
 	h.hops[n] = nil
-	if d.Counter != nil && (o == balance.Full || o == balance.Unreachable || o == balance.Void || o == balance.Barred) {
+	unrun := o == balance.Full || o == balance.Unreachable || o == balance.Void || o == balance.Barred
+	if d.Counter != nil && unrun {
 		d.Counter.Back(h.req.Tenant, h.size()) // as the module does with its tags
 	}
+	if h.ran == 0 && (!unrun || o == balance.Full && d.Settings.Rules.FullUnproven) {
+		h.ran = h.sent
+	}
 	d.events = append(d.events, balance.AttemptDone{ID: h.req.ID, Attempt: n, Outcome: o, Closed: h.answered, Report: report})
 	if !h.answered && !h.out() {
 		d.enter(h, waiting.Queued) // the module has it wait for another hop, or answers it
@@ -631,7 +638,18 @@
 	return d.Settings.Reporting.Fields
 }
 
-// send starts an attempt.
+// window is how long workers recognise repeats of a keyed class, as a job of it comes; 0 for others.
+func (d *Dispatcher) window(class string) float64 {
+	for _, l := range d.ruled().Lanes {
+		if l.Name == class && l.Semantics == string(balance.Keyed) {
+			return l.RepeatWindow
+		}
+	}
+	return 0
+}
+
+// send starts an attempt. A repeat has to be out whole within the window of the first that may have
+// run: that one's decision comes before it was at its worker, so what is out by then is in time.
 func (d *Dispatcher) send(a balance.Send) {
 	h := d.held[a.ID]
 	if h == nil || h.answered {
@@ -655,9 +673,14 @@
 		d.outcome(h, n, balance.Unreachable, nil)
 		return
 	}
+	until := h.deadline
+	if h.window > 0 && h.ran > 0 {
+		until = min(until, h.ran+h.window)
+	}
+	h.sent = d.last
 	by := d.ruling
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
-		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields(),
+		Body: h.req.Body, Deadline: d.time(h.deadline), Until: d.time(until), Fields: d.fields(),
 		Barred: func() balance.Outcome {
 			if h.req.Left() || way.Shut() {
 				return balance.Barred
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -54,7 +54,7 @@
 
 func order() *Order {
 	return &Order{ID: "r", Method: "POST", URI: "/c/x?y=1", IdempotencyKey: "k", Body: []byte("body"),
-		Deadline: time.Now().Add(time.Hour), Fields: []string{"x0", "x1"}}
+		Deadline: time.Now().Add(time.Hour), Until: time.Now().Add(time.Hour), Fields: []string{"x0", "x1"}}
 }
 
 // idle is how many connections the pool holds in reserve, open how many at all.
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -34,8 +34,9 @@
 	IdempotencyKey  string
 	Body            []byte
 	Deadline        time.Time // when the client gives up
+	Until           time.Time // no byte goes out later; not after Deadline
 	Fields          []string  // names of the figures in a load report, in order
-	// Barred is how the hop ends if it may not go out any more, empty where it may; nil: it
+	// Barred is how the hop ends if it may not go out any more though Until has not come, empty where it may; nil: it
 	// always may. It is asked right before the first byte, from the hop's goroutine.
 	Barred func() balance.Outcome
 }
@@ -190,12 +191,19 @@
 // play sends the request and reads up to the outcome. Clean says that the
 // connection stands right behind the last line.
 func (o *Order) play(c *conn, by time.Time, tell func(News)) (end News, clean bool) {
+	if !time.Now().Before(o.Until) {
+		return News{Outcome: balance.Barred, Why: "barred while the hop was under way: its time to be sent is over"}, false
+	}
 	if o.Barred != nil {
 		if end := o.Barred(); end != "" {
-			return News{Outcome: end, Why: "barred while the hop was under way: its client has left, its worker is left out, or other rules hold"}, false
+			return News{Outcome: end, Why: "barred while the hop was under way: its client has left, its worker is left out or another than was listed, or other rules hold"}, false
 		}
 	}
-	c.SetWriteDeadline(by.Add(late))
+	write := by.Add(late)
+	if o.Until.Before(write) {
+		write = o.Until
+	}
+	c.SetWriteDeadline(write)
 	msg := o.head(c.addr)
 	// Until the last byte is written the job cannot have run; from then on it may have.
 	if n, err := c.Write(msg); err != nil || n < len(msg) {
