Trust no second answer: rest connections behind other ends, and for jobs that must not run twice

Cause: a second answer may come some milliseconds late, when the connection carries the next request. "Not started" names no request, and read as the answer to one that runs it had an unsafe job sent again. Only a connection on which a job was turned away by 503 or 504 rested. So it was open for a 503 behind a result or an error, and for a line that names its job (returned, failed) where that job goes to the same worker once more. A look at the socket cannot tell: the late answer comes after it. Change: for settle (0.1 s, as before) a connection is not used again behind any end but a result. Behind a result a job that may run twice still takes it at once, since a connection more costs handshakes; "not started" proves nothing there, and the connection is closed before the job goes out again. A job that must not run twice (Order.Once, by its class) takes one that has rested, or opens one. Probes, whose answers never say that, may be followed at once. FuzzHops now models which connection of several is taken, with these times. Result: TestSecondAnswerUnderTheNextRequest is red without it at crossing_test.go:101 "served, then turned away: the next came on connection 1 and ended as full (503 No)" and :103 "failed twice, and the job comes once more: the next came on connection 1 and ended as errored (failed)"; passes with it, five times under -race.

--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -105,8 +105,8 @@
 		r := newRig(t)
 		j := r.runs("1", c.class)
 		decided := r.last
-		if first := r.orders[0]; !first.Until.Equal(first.Deadline) {
-			t.Errorf("%v: the first attempt has until %v", c, first.Until)
+		if first := r.orders[0]; !first.Until.Equal(first.Deadline) || first.Once != (c.class != "safe") {
+			t.Errorf("%v: the first attempt has until %v, once %v", c, first.Until, first.Once)
 		}
 		r.take(hopNews{r.held["1"], 0, "", egress.News{}})
 		r.pass(100 * time.Millisecond)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -152,7 +152,8 @@
 	offered  float64       // when it came to the module
 	step     uint64        // the step that took it in; 0: it waits for others or for a time
 	promised float64       // its longest wait for a first hop; 0: none
-	window   float64       // in which it may go out again once it may have run; 0: as often as the module says
+	once     bool          // it must not run twice at will, by its class
+	window   float64       // of a keyed one: in which it may go out again once it may have run; 0: none
 	sent     float64       // when its last hop was decided
 	ran      float64       // the same of the first that may have run; 0: none
 }
@@ -474,7 +475,15 @@
 	if d.noteIDs != nil {
 		(*d.noteIDs)([]string{strings.Clone(r.ID)})
 	}
-	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), window: d.window(r.Class)}
+	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), once: true}
+	for _, l := range d.ruled().Lanes {
+		if l.Name == r.Class {
+			h.once = l.Semantics != string(balance.Safe)
+			if l.Semantics == string(balance.Keyed) {
+				h.window = l.RepeatWindow
+			}
+		}
+	}
 	if !d.admit(h) {
 		return
 	}
@@ -638,16 +647,6 @@
 	return d.Settings.Reporting.Fields
 }
 
-// window is how long workers recognise repeats of a keyed class, as a job of it comes; 0 for others.
-func (d *Dispatcher) window(class string) float64 {
-	for _, l := range d.ruled().Lanes {
-		if l.Name == class && l.Semantics == string(balance.Keyed) {
-			return l.RepeatWindow
-		}
-	}
-	return 0
-}
-
 // send starts an attempt. A repeat has to be out whole within the window of the first that may have
 // run: that one's decision comes before it was at its worker, so what is out by then is in time.
 func (d *Dispatcher) send(a balance.Send) {
@@ -680,7 +679,7 @@
 	h.sent = d.last
 	by := d.ruling
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
-		Body: h.req.Body, Deadline: d.time(h.deadline), Until: d.time(until), Fields: d.fields(),
+		Body: h.req.Body, Deadline: d.time(h.deadline), Until: d.time(until), Fields: d.fields(), Once: h.once,
 		Barred: func() balance.Outcome {
 			if h.req.Left() || way.Shut() {
 				return balance.Barred
--- a/internal/egress/crossing_test.go
+++ b/internal/egress/crossing_test.go
@@ -57,3 +57,76 @@
 		}
 	}
 }
+
+// A second answer may come when the connection carries the next request already. No job that must not run
+// twice is taken for unstarted by it, nor any attempt for ended that is out on an open connection.
+func TestSecondAnswerUnderTheNextRequest(t *testing.T) {
+	const turned = "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+	line := func(state string) string {
+		return wiretest.Lines(true, `{"id":"r","state":"`+state+`","result":"old"}`)
+	}
+	for _, c := range []struct {
+		name, raw, late string
+		once            bool
+		no              int             // of the connection on which the next request comes
+		next            balance.Outcome // where the late one is taken for its answer
+	}{
+		{"served, then turned away", line("done"), turned, true, 2, ""},
+		{"served, then turned away, and the next may run twice", line("done"), turned, false, 1, balance.Stale},
+		{"returned twice, and the job comes once more", line("returned"), line("returned"), true, 2, ""},
+		{"failed twice, and the job comes once more", line("failed"), line("failed"), false, 2, ""},
+		{"returned, then turned away", line("returned"), turned, false, 2, ""},
+		{"an error, then turned away", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", turned, false, 2, ""},
+	} {
+		target, p := wiretest.NewTarget(t), newPool()
+		now := time.Now()
+		p.Now = func() time.Time { return now }
+		hop := func() (*wiretest.Call, chan News) {
+			o, news := order(), make(chan News, 8)
+			o.Once = c.once
+			p.Start(o, target.Addr, func(n News) { news <- n })
+			return wiretest.Get(t, target.Calls, "a request"), news
+		}
+		first, news := hop()
+		first.Reply(c.raw)
+		outcome(t, news)
+		wiretest.Until(t, "the connection's return", func() bool { idle, _ := p.counts(); return idle == 1 })
+		now = now.Add(settle - 1)
+		next, news := hop()
+		first.Reply(c.late)
+		want := c.next
+		if want == "" {
+			want = balance.Served
+			next.Reply(wiretest.Lines(true, done))
+		}
+		if n := outcome(t, news); next.No != c.no || n.Outcome != want || want == balance.Served && string(n.Result) != "ok" {
+			t.Errorf("%s: the next came on connection %d and ended as %s (%s)", c.name, next.No, n.Outcome, n.Why)
+		}
+		if want == balance.Stale {
+			wiretest.Get(t, target.Ends, "the end of the connection")
+		}
+	}
+	// Where nothing more comes a connection is used again, behind a probe at once.
+	target, p := wiretest.NewTarget(t), newPool()
+	now := time.Now()
+	p.Now = func() time.Time { return now }
+	p.Probe(target.Addr, nil, func(News) {})
+	wiretest.Get(t, target.Calls, "a probe").Reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	back := func() {
+		t.Helper()
+		wiretest.Until(t, "the connection's return", func() bool { idle, _ := p.counts(); return idle == 1 })
+	}
+	back()
+	for _, answer := range []string{turned, line("returned"), line("done")} {
+		o, news := order(), make(chan News, 8)
+		o.Once = true
+		p.Start(o, target.Addr, func(n News) { news <- n })
+		call := wiretest.Get(t, target.Calls, "a request")
+		call.Reply(answer)
+		if n := outcome(t, news); call.No != 1 || n.Outcome == balance.Stale {
+			t.Errorf("a request on connection %d ended as %s", call.No, n.Outcome)
+		}
+		back()
+		now = now.Add(settle)
+	}
+}
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -49,7 +49,7 @@
 }
 
 func newPool() *Pool {
-	return &Pool{Max: 8, Dial: 5 * time.Second, Keep: time.Hour, Now: time.Now}
+	return &Pool{Max: 32, Dial: 5 * time.Second, Keep: time.Hour, Now: time.Now}
 }
 
 func order() *Order {
@@ -74,56 +74,82 @@
 	}
 }
 
-// FuzzHops plays hops one after another against the model: one connection is
-// in reserve or none is; a hop uses it or opens the next; its outcome and
-// whether the connection returns are those of the script. Only the end of one
-// used before, without a word, is stale.
+// FuzzHops plays hops one after another against the model: connections are in reserve, each with the times
+// from when on it may be used again; a hop takes the youngest that will do, or opens the next; its outcome
+// and whether the connection returns are those of the script. Only the end of one used before,
+// without a word, is stale, and "not started" where a second answer is to be expected.
 func FuzzHops(f *testing.F) {
 	for i := range scripts {
 		f.Add([]byte{byte(i), 0, byte(i)})
+		f.Add([]byte{byte(i), byte(100 + i), byte(150 + i), byte(i)})
 	}
 	f.Add([]byte{0, 200, 201, 0, 202, 0})
+	f.Add([]byte{0, 11, 0, 11, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		target, p, start := wiretest.NewTarget(t), newPool(), time.Now()
-		p.Now = func() time.Time { return start } // no idle connection is ever too old, none too young
-		conns, reserve := 0, false                // the model: connections opened so far, and whether the last is idle
+		target, p, now := wiretest.NewTarget(t), newPool(), time.Now()
+		p.Now = func() time.Time { return now } // no idle connection is ever too old
+		type state struct {
+			no          int
+			again, sure time.Time
+		}
+		conns, reserve := 0, []state(nil) // the model: connections opened so far, and those that are idle, youngest last
 		wiretest.Steps(data, 24, func(b byte) {
-			start = start.Add(settle)
-			news := make(chan News, 16)
-			h := p.Start(order(), target.Addr, func(n News) { news <- n })
+			if b < 100 || b >= 200 { // else it comes right behind the one before
+				now = now.Add(settle)
+			}
+			o, news := order(), make(chan News, 16)
+			o.Once = b < 150
+			h := p.Start(o, target.Addr, func(n News) { news <- n })
 			call := wiretest.Get(t, target.Calls, "a request")
-			if !reserve {
+			c, used, young := state{}, false, false
+			for i := len(reserve) - 1; i >= 0 && !used; i-- {
+				if c = reserve[i]; !now.Before(c.again) && (!o.Once || !now.Before(c.sure)) {
+					used, young, reserve = true, now.Before(c.sure), append(reserve[:i], reserve[i+1:]...)
+				}
+			}
+			if !used {
 				conns++
+				c = state{no: conns}
 			}
-			if call.No != conns {
-				t.Fatalf("request came on connection %d, want %d", call.No, conns)
+			if call.No != c.no {
+				t.Fatalf("request came on connection %d, want %d", call.No, c.no)
 			}
 			if b >= 200 { // abandoned: the target must see the end before anything else may go out
 				h.Abandon()
 				h.Abandon()
 				wiretest.Get(t, target.Ends, "the end of an abandoned hop")
-				reserve = false
 			} else {
 				s := scripts[int(b)%len(scripts)]
 				call.Reply(s.raw)
 				if s.hangUp {
 					call.Close()
 				}
-				n, want := outcome(t, news), s.want
-				if s.name == "no answer" && reserve {
+				n, want, reuse := outcome(t, news), s.want, s.reuse
+				if s.name == "no answer" && used {
 					want = balance.Stale
 				}
+				if strings.HasSuffix(s.name, " unstarted") && young {
+					want, reuse = balance.Stale, false
+				}
 				if n.Outcome != want || n.Outcome == balance.Served && (string(n.Result) != "ok" || len(n.Report) != 2) {
 					t.Fatalf("%s: got %+v, want %s", s.name, n, want)
 				}
-				if reserve = s.reuse; !reserve {
+				if reuse {
+					if c.sure = now.Add(settle); want != balance.Served {
+						c.again = c.sure
+					}
+					reserve = append(reserve, c)
+				} else {
 					wiretest.Get(t, target.Ends, "the end of a spent connection")
 				}
 			}
 			wiretest.Until(t, "the pool to settle", func() bool {
 				idle, open := p.counts()
-				return idle == open && (idle == 1) == reserve
+				return idle == open && idle == len(reserve)
 			})
+			p.mu.Lock()
+			p.lost = 0 // how long idle ones are kept is another test's
+			p.mu.Unlock()
 		})
 		p.Forget(target.Addr)
 		if idle, open := p.counts(); idle != 0 || open != 0 {
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -36,6 +36,7 @@
 	Deadline        time.Time // when the client gives up
 	Until           time.Time // no byte goes out later; not after Deadline
 	Fields          []string  // names of the figures in a load report, in order
+	Once            bool      // the job must not run twice at will: no doubt which request an answer is for
 	// Barred is how the hop ends if it may not go out any more though Until has not come, empty where it may; nil: it
 	// always may. It is asked right before the first byte, from the hop's goroutine.
 	Barred func() balance.Outcome
@@ -49,6 +50,7 @@
 	Report  []float64
 	Why     string // for the log
 	again   bool   // nothing went out whole, and a new connection may do better
+	silent  bool   // a connection used before was dead
 }
 
 // Hop is one attempt that is out.
@@ -115,14 +117,18 @@
 	by := p.by(time.Now())
 	go func() {
 		defer cancel()
-		c, end, clean := p.attempt(ctx, h, o, addr, by, false, tell)
+		of := anyConn
+		if o.Once {
+			of = sureConn
+		}
+		c, end, clean := p.attempt(ctx, h, o, addr, by, of, tell)
 		if end.again && !h.ended() {
 			// It broke before the last byte was written. So the job never ran, and
 			// one connection that breaks does not show a target that is lost.
 			if c != nil {
 				p.close(c)
 			}
-			c, end, clean = p.attempt(ctx, h, o, addr, by, true, tell)
+			c, end, clean = p.attempt(ctx, h, o, addr, by, freshConn, tell)
 		}
 		if c == nil {
 			tell(end)
@@ -148,10 +154,10 @@
 	return h
 }
 
-// attempt gets a connection, which must be a new one if fresh, and plays the
-// order on it. There is none to close where it never got one.
-func (p *Pool) attempt(ctx context.Context, h *hop, o *Order, addr string, by time.Time, fresh bool, tell func(News)) (*conn, News, bool) {
-	c, err := p.get(ctx, addr, by, fresh)
+// attempt gets a connection that will do and plays the order on it. There is
+// none to close where it never got one.
+func (p *Pool) attempt(ctx context.Context, h *hop, o *Order, addr string, by time.Time, of use, tell func(News)) (*conn, News, bool) {
+	c, err := p.get(ctx, addr, by, of)
 	if err != nil {
 		return nil, unsent(err), false
 	}
@@ -160,8 +166,9 @@
 		return nil, News{Outcome: balance.Cancelled}, false
 	}
 	end, clean := o.play(c, by, tell)
+	c.ended = end.Outcome
 	if c.age > 0 && !h.ended() {
-		p.reused(c, end.again || end.Outcome == balance.Stale)
+		p.reused(c, end.again || end.silent)
 	}
 	return c, end, clean
 }
@@ -215,7 +222,7 @@
 	if err != nil {
 		end := broken(err)
 		if time.Since(sent) < staleTime && c.silentEnd(err) {
-			end.Outcome = balance.Stale
+			end.Outcome, end.silent = balance.Stale, true
 		}
 		return end, false
 	}
@@ -223,7 +230,9 @@
 		end := News{Outcome: balance.Errored, Report: report([]byte(resp.Header.Get("Server-Load")), o.Fields), Why: resp.Status}
 		turned := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
 		if turned && resp.Header.Get("Not-Started") == "1" {
-			end.Outcome, c.turned = balance.Full, true
+			if end.Outcome = balance.Full; c.young {
+				return News{Outcome: balance.Stale, Why: resp.Status + ", which may be a second answer to the request before"}, false
+			}
 		}
 		return end, !resp.Close
 	}
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/sock"
 )
 
@@ -29,8 +30,10 @@
 // idle ones for twice as long.
 const regrow = 30 * time.Second
 
-// settle is how long a connection rests on which a job was turned away. A second answer of the same may
-// follow some milliseconds later: to the next request it would say "not started", as it names none.
+// settle is how long a second answer to a job may still follow. To the next request "not started" would say
+// that this one never ran, as it names none, and what names a job would say so of its next attempt. So for
+// that long a connection is not used again behind any end but a result, nor, behind a result, for a job
+// that must not run twice; and "not started" proves nothing to others.
 const settle = 100 * time.Millisecond
 
 // Pool holds the connections to all egress targets. Set the exported fields
@@ -54,21 +57,31 @@
 // probe, or idle in the pool.
 type conn struct {
 	net.Conn
-	addr   string
-	limit  io.LimitedReader // what may still come in this answer
-	r      *bufio.Reader
-	since  time.Time     // when it became idle
-	age    time.Duration // how long it was, when it came out of the pool; 0 means a new connection
-	rest   io.Reader     // of the answer being read
-	turned bool          // its last answer was a job turned away
-	again  time.Time     // from when on it may be used again
-}
-
-// get returns an idle connection to the address, unless a new one is wanted,
-// or opens one by the given time.
-func (p *Pool) get(ctx context.Context, addr string, by time.Time, fresh bool) (*conn, error) {
+	addr  string
+	limit io.LimitedReader // what may still come in this answer
+	r     *bufio.Reader
+	since time.Time       // when it became idle
+	age   time.Duration   // how long it was, when it came out of the pool; 0 means a new connection
+	rest  io.Reader       // of the answer being read
+	ended balance.Outcome // of the last job on it; empty behind a probe
+	again time.Time       // from when on it may be used again
+	sure  time.Time       // from when on no second answer to an earlier job is to be expected
+	young bool            // it came out of the pool before that
+}
+
+// use is which connections will do.
+type use int
+
+const (
+	anyConn   use = iota
+	sureConn      // where no second answer to an earlier job is to be expected
+	freshConn     // a new one
+)
+
+// get returns an idle connection to the address that will do, or opens one by the given time.
+func (p *Pool) get(ctx context.Context, addr string, by time.Time, of use) (*conn, error) {
 	for {
-		c, err := p.reserve(addr, fresh)
+		c, err := p.reserve(addr, of)
 		if err != nil {
 			return nil, err
 		}
@@ -95,16 +108,19 @@
 
 // reserve takes the youngest usable idle connection to the address. Where
 // there is none it takes a place for a new one, and returns nil.
-func (p *Pool) reserve(addr string, fresh bool) (*conn, error) {
+func (p *Pool) reserve(addr string, of use) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep()
-	for i := len(p.idle) - 1; i >= 0 && !fresh; i-- {
-		if c := p.idle[i]; c.addr == addr && !p.Now().Before(c.again) {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			c.age = max(1, p.Now().Sub(c.since))
-			return c, nil
+	now := p.Now()
+	for i := len(p.idle) - 1; i >= 0 && of != freshConn; i-- {
+		c := p.idle[i]
+		if c.addr != addr || now.Before(c.again) || of == sureConn && now.Before(c.sure) {
+			continue
 		}
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
+		c.age, c.young = max(1, now.Sub(c.since)), now.Before(c.sure)
+		return c, nil
 	}
 	if p.open >= p.Max && len(p.idle) > 0 {
 		p.drop(0)
@@ -145,8 +161,12 @@
 func (p *Pool) put(c *conn) {
 	c.SetDeadline(time.Time{})
 	c.since = p.Now()
-	if c.turned {
-		c.turned, c.again = false, c.since.Add(settle)
+	if c.ended != "" {
+		c.sure = c.since.Add(settle)
+		if c.ended != balance.Served {
+			c.again = c.sure
+		}
+		c.ended = ""
 	}
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
--- a/internal/egress/probe.go
+++ b/internal/egress/probe.go
@@ -18,16 +18,16 @@
 func (p *Pool) Probe(addr string, fields []string, tell func(News)) {
 	go func() {
 		start := time.Now()
-		news := p.probe(addr, fields, start, false)
+		news := p.probe(addr, fields, start, anyConn)
 		if news.again { // one connection that breaks does not show a target that is lost
-			news = p.probe(addr, fields, start, true)
+			news = p.probe(addr, fields, start, freshConn)
 		}
 		tell(news)
 	}()
 }
 
-func (p *Pool) probe(addr string, fields []string, start time.Time, fresh bool) News {
-	c, err := p.get(context.Background(), addr, p.by(start), fresh)
+func (p *Pool) probe(addr string, fields []string, start time.Time, of use) News {
+	c, err := p.get(context.Background(), addr, p.by(start), of)
 	if err != nil {
 		return unsent(err)
 	}
