Read spoilt answers to their bounds: interim ones, lines that name nobody, starts without end

Cause, each by a script of a target that the model of hops plays: - A last line with no id was taken for whichever request was out on the connection. Each line names its job. - http.ReadResponse returns interim answers (1xx) like any other. "100 Continue" ended the attempt as an error and gave the connection back, with the job running on it and its answer to come to the next request. - Each "started" line was posted: 4 MiB of them fill the queue of the loop. - A probe that stopped reading at its bound could give its connection back with the answer not at its end. - A write that tells of an error though it wrote all (no TCP socket here does) had the job sent once more. Checked and in order: two answers in one, half a line, lines behind the last, a chunk length or trailers or a head without end: each ends at a bound in bytes, by the deadline and by 0.25 s for what follows a last line. Change: last lines have to name the job, interim answers are read past within the bound of a head and 101 ends the connection, a start is told once, probes keep only what they read to the end, and bytes alone say what was written.

--- a/internal/egress/crossing_test.go
+++ b/internal/egress/crossing_test.go
@@ -1,8 +1,10 @@
 package egress
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,3 +132,48 @@
 		now = now.Add(settle)
 	}
 }
+
+// What a target says again and again reaches the loop once.
+func TestStartIsToldOnce(t *testing.T) {
+	target, p, news := wiretest.NewTarget(t), newPool(), make(chan News, 1000)
+	p.Start(order(), target.Addr, func(n News) { news <- n })
+	lines := []string{done}
+	for range 500 {
+		lines = append([]string{started}, lines...)
+	}
+	wiretest.Get(t, target.Calls, "a request").Reply(wiretest.Lines(true, lines...))
+	if first, last := wiretest.Get(t, news, "the start"), wiretest.Get(t, news, "the end"); first.Outcome != "" || last.Outcome != balance.Served {
+		t.Errorf("told %+v, then %+v", first, last)
+	}
+}
+
+// The connection of a probe whose answer was not read to its end carries nothing else.
+func TestProbeLeavesNothingUnread(t *testing.T) {
+	target, p, news := wiretest.NewTarget(t), newPool(), make(chan News, 1)
+	p.Probe(target.Addr, []string{"x0"}, func(n News) { news <- n })
+	call := wiretest.Get(t, target.Calls, "a probe")
+	// The rest comes when the answer has been taken: a look at the socket before does not see it.
+	call.Reply("HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + strings.Repeat("x", maxLine))
+	wiretest.Get(t, news, "an outcome")
+	wiretest.Get(t, target.Ends, "the end of the connection")
+	if idle, _ := p.counts(); idle > 0 {
+		t.Error("the connection is in reserve")
+	}
+}
+
+// told is a connection of which the last write went out whole, and told of an error all the same.
+type told struct{ net.Conn }
+
+func (c *told) Write(b []byte) (int, error) { c.Conn.Write(b); return len(b), io.ErrClosedPipe }
+
+// Once the last byte is out the job may have run, whatever else the write tells: no second attempt of
+// the same hop follows it.
+func TestWholeWriteMayHaveRun(t *testing.T) {
+	here, there := net.Pipe()
+	go func() { there.Read(make([]byte, 4096)); there.Close() }()
+	c := &told{here}
+	end, clean := order().play(&conn{Conn: c, addr: "x", limit: io.LimitedReader{R: c}, r: bufio.NewReader(c)}, time.Now().Add(time.Minute), func(News) {})
+	if end.Outcome != balance.Broken || end.again || clean {
+		t.Errorf("got %+v, clean %v", end, clean)
+	}
+}
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -45,6 +45,16 @@
 	{"503 unstarted", "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 2\r\n\r\nno", false, balance.Full, true},
 	{"504 unstarted", "HTTP/1.1 504 No\r\nNot-Started: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true, balance.Full, false},
 	{"503 maybe started", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, balance.Errored, true},
+	{"interim answers before", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + wiretest.Lines(true, started, done), false, balance.Served, true},
+	{"interim answers without end", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 4000), false, balance.Broken, false},
+	{"another protocol", "HTTP/1.1 101 No\r\n\r\n", false, balance.Broken, false},
+	{"two in one", wiretest.Lines(true, done) + wiretest.Lines(true, done), false, balance.Served, false},
+	{"a last line that names no request", wiretest.Lines(true, `{"state":"done","result":"no"}`), false, balance.Broken, false},
+	{"returned, naming no request", wiretest.Lines(true, `{"state":"returned"}`), false, balance.Broken, false},
+	{"lines behind the last", wiretest.Lines(true, done, `{"id":"q","state":"done","result":"no"}`), false, balance.Served, true},
+	{"half a line", "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + done[:30], false, balance.Broken, false},
+	{"a chunk's length without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0", 1<<16), false, balance.Broken, false},
+	{"trailers without end", wiretest.Lines(false, done) + "0\r\n" + strings.Repeat("X-Y: z\r\n", 8000), false, balance.Served, false},
 	{"404", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", false, balance.Errored, true},
 }
 
--- a/internal/egress/hop.go
+++ b/internal/egress/hop.go
@@ -213,7 +213,7 @@
 	c.SetWriteDeadline(write)
 	msg := o.head(c.addr)
 	// Until the last byte is written the job cannot have run; from then on it may have.
-	if n, err := c.Write(msg); err != nil || n < len(msg) {
+	if n, err := c.Write(msg); n < len(msg) {
 		return News{Outcome: balance.Unreachable, Why: fmt.Sprintf("wrote %d of %d bytes: %v", n, len(msg), err), again: true}, false
 	}
 	c.SetReadDeadline(o.Deadline.Add(late))
@@ -236,6 +236,7 @@
 		}
 		return end, !resp.Close
 	}
+	started := false
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 1024), maxLine)
 	for lines.Scan() {
@@ -247,13 +248,17 @@
 			return News{Outcome: balance.Broken, Why: "malformed line"}, false
 		}
 		v := gjson.ParseBytes(line)
-		if id := v.Get("id"); id.Exists() && id.String() != o.ID {
+		id, state := v.Get("id"), v.Get("state").String()
+		if id.Exists() && id.String() != o.ID {
 			return News{Outcome: balance.Broken, Why: "a line for another request"}, false
 		}
 		end := News{Report: report([]byte(v.Get("load").Raw), o.Fields)}
-		switch v.Get("state").String() {
+		switch state {
 		case "started":
-			tell(News{})
+			if !started { // more of them would only fill the loop's queue
+				tell(News{})
+			}
+			started = true
 			continue
 		case "done":
 			result := v.Get("result")
@@ -270,7 +275,10 @@
 		default:
 			continue // progress, and what later targets may add
 		}
-		end.Why = v.Get("state").String()
+		if !id.Exists() {
+			return News{Outcome: balance.Broken, Why: "a last line that names no request"}, false
+		}
+		end.Why = state
 		return end, !resp.Close
 	}
 	return broken(lines.Err()), false
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -243,11 +243,17 @@
 // reset by the other side, or holds bytes that nobody asked for.
 func (c *conn) alive() bool { return c.r.Buffered() == 0 && sock.Quiet(c.Conn) }
 
-// response reads the head of an answer and notes its body, so that finish can
-// read the rest. An answer without end must not fill the memory.
+// response reads the head of an answer, behind those of interim ones (1xx), and notes its
+// body, so that finish can read the rest. An answer without end must not fill the memory.
 func (c *conn) response(method string) (*http.Response, error) {
 	c.limit.N = maxHead
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	for err == nil && resp.StatusCode/100 == 1 {
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("what follows is no HTTP: " + resp.Status)
+		}
+		resp, err = http.ReadResponse(c.r, &http.Request{Method: method})
+	}
 	if err == nil {
 		c.limit.N, c.rest = maxAnswer, resp.Body
 	}
--- a/internal/egress/probe.go
+++ b/internal/egress/probe.go
@@ -59,7 +59,7 @@
 		return end
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLine))
-	if err != nil || resp.Close || c.r.Buffered() > 0 {
+	if err != nil || len(body) == maxLine || resp.Close || c.r.Buffered() > 0 {
 		p.close(c)
 	} else {
 		p.put(c)
