Hold by tests that an abandoned hop writes nothing, wherever it is

A leave, a deadline or a Cancel abandons a hop from the loop while the hop is between two lines: given a connection in reserve and not holding it yet, between its last look and its first byte, about to play the second attempt, or waiting for a connection that comes up late. Read and forced: harmless, since hold refuses what came too late, a closed connection takes no write, the second attempt looks whether it is over first, and the dial ends with its context. wiretest.Stalled is a server whose connections do not come up. Red where the code is changed: without the look in hold and without the close in Abandon at crossing_test.go:217 "waited too long for a hop's outcome"; with a dial that is not cancelled at :236.

--- a/internal/egress/crossing_test.go
+++ b/internal/egress/crossing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -177,3 +178,65 @@
 		t.Errorf("got %+v, clean %v", end, clean)
 	}
 }
+
+// A hop that is abandoned writes nothing more, wherever it is: not on a connection in reserve that it was
+// just given, not between its last look and its first byte, and not on the connection that replaces
+// one which broke. It tells one outcome at most.
+func TestAbandonedBetweenTwoSteps(t *testing.T) {
+	for _, at := range []string{"given", "looks", "looks again"} {
+		target, p := wiretest.NewTarget(t), newPool()
+		hops, tells := make(chan Hop, 1), make(chan News, 8)
+		var abandon func()
+		abandon = sync.OnceFunc(func() { (<-hops).Abandon() })
+		o := order()
+		switch at {
+		case "given":
+			p.Probe(target.Addr, nil, func(News) {})
+			wiretest.Get(t, target.Calls, "a probe").Reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			wiretest.Until(t, "the connection's return", func() bool { idle, _ := p.counts(); return idle == 1 })
+			p.mu.Lock()
+			p.Now = func() time.Time { abandon(); return time.Now() } // as the pool looks for one to give
+			p.mu.Unlock()
+		case "looks":
+			o.Barred = func() balance.Outcome { abandon(); return "" }
+		case "looks again":
+			here, there := net.Pipe()
+			there.Close()
+			c := &conn{Conn: here, addr: target.Addr, limit: io.LimitedReader{R: here}, since: time.Now()}
+			c.r = bufio.NewReader(&c.limit)
+			p.idle, p.open = []*conn{c}, 1
+			looks := 0
+			o.Barred = func() balance.Outcome {
+				if looks++; looks == 2 {
+					abandon()
+				}
+				return ""
+			}
+		}
+		hops <- p.Start(o, target.Addr, func(n News) { tells <- n })
+		if n := outcome(t, tells); n.Outcome == balance.Served {
+			t.Errorf("%s: got %+v", at, n)
+		}
+		wiretest.Get(t, target.Ends, "the connection's end")
+		wiretest.Until(t, "the place to be free again", func() bool { _, open := p.counts(); return open == 0 })
+		if len(target.Calls)+len(tells) > 0 {
+			t.Errorf("%s: %d requests arrived, %d outcomes more were told", at, len(target.Calls), len(tells))
+		}
+	}
+}
+
+// A connection that comes up late is not waited for once its hop is abandoned.
+func TestAbandonedDialEnds(t *testing.T) {
+	addr := wiretest.Stalled(t)
+	p, tells := newPool(), make(chan News, 8)
+	p.Dial = time.Hour
+	h := p.Start(order(), addr, func(n News) { tells <- n })
+	wiretest.Until(t, "the dial", func() bool { _, open := p.counts(); return open == 1 })
+	h.Abandon()
+	if n := outcome(t, tells); n.Outcome != balance.Unreachable || len(tells) > 0 {
+		t.Errorf("got %+v and %d more", n, len(tells))
+	}
+	if _, open := p.counts(); open > 0 {
+		t.Errorf("%d connections are open", open)
+	}
+}
--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -173,3 +174,31 @@
 	}
 	return b.String()
 }
+
+// Stalled is the address of a server at which connections come up only when it has accepted
+// those before, which it does not do until the test is over.
+func Stalled(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	c, err := net.Dial("tcp", addr) // a backlog of 0 holds one
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return addr
+}
