Hold by tests that answers end in time, and that seats of shards take barred attempts as unrun

Checked and in order: the head and lines of an answer are read up to a second past the deadline of the client, at which the loop abandons the hop anyway, and what follows the last line for a quarter of a second that no byte prolongs. TestAnswersAreBoundedInTime can fail: with another limit, or one set anew for each read. The sim of shards plays barred attempts now: red where Router.finished counts them as run (TestSwitchedOn, TestToldAgain).

--- a/internal/egress/crossing_test.go
+++ b/internal/egress/crossing_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -35,10 +36,16 @@
 	}
 }
 
-// limited is a connection that tells by when a write has to be through.
+// limited is a connection that tells by when a write and a read have to be through.
 type limited struct {
 	net.Conn
-	write time.Time
+	write, read time.Time
+	reads       int // times that was set
+}
+
+func (c *limited) SetReadDeadline(t time.Time) error {
+	c.read, c.reads = t, c.reads+1
+	return c.Conn.SetReadDeadline(t)
 }
 
 func (c *limited) SetWriteDeadline(t time.Time) error { c.write = t; return c.Conn.SetWriteDeadline(t) }
@@ -240,3 +247,23 @@
 		t.Errorf("%d connections are open", open)
 	}
 }
+
+// What an answer may take is bounded in time whatever comes: by the client's deadline up to the last
+// line, from then on by a quarter of a second, however slowly more of it dribbles in.
+func TestAnswersAreBoundedInTime(t *testing.T) {
+	here, there := net.Pipe()
+	go func() {
+		http.ReadRequest(bufio.NewReader(there))
+		io.WriteString(there, wiretest.Lines(false, started, done))
+	}()
+	l, o := &limited{Conn: here}, order()
+	c := &conn{Conn: l, addr: "x", limit: io.LimitedReader{R: l}}
+	c.r = bufio.NewReader(&c.limit)
+	if end, _ := o.play(c, time.Now(), func(News) {}); end.Outcome != balance.Served || !l.read.Equal(o.Deadline.Add(late)) {
+		t.Errorf("got %+v, reads end %v after the deadline", end, l.read.Sub(o.Deadline))
+	}
+	from := time.Now()
+	if c.finish() || l.read.Before(from.Add(tailTime)) || l.read.After(time.Now().Add(tailTime)) || l.reads != 2 {
+		t.Errorf("reads of the rest end after %v; the limit was set %d times", l.read.Sub(from), l.reads)
+	}
+}
--- a/internal/seating/sim_test.go
+++ b/internal/seating/sim_test.go
@@ -399,6 +399,8 @@
 	case s.flawless:
 		n.ran(j)
 		n.hop(j, 0.1, balance.Served, true)
+	case x < 0.01:
+		n.hop(j, 0.003, balance.Barred, false)
 	case x < 0.02:
 		n.hop(j, 0.003, balance.Unreachable, false)
 	case x < 0.06:
