--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -25,8 +25,8 @@
 	}
 	d.leaves <- r
 }
-func (d *desk) Ready() bool       { return !d.Ending() }
-func (d *desk) Ending() bool      { return d.ending.Load() }
+func (d *desk) Ready() bool  { return !d.Ending() }
+func (d *desk) Ending() bool { return d.ending.Load() }
 
 var classes = map[string]Class{"safe": {Deadline: 5 * time.Second}, "keyed": {Keyed: true, Deadline: 8 * time.Second}}
 
