See a client leave behind whatever it has sent on

Cause: behind a held request the watcher waited for one byte (watch, Peek(1)) and went home with it, so that one() waited for the answer alone ('early'). A client that sent on, half a next request or a lot, and went was never told as left: its request went out, first attempt or further. Where the buffer already held more than the request, Peek(1) returned at once, with the same end. Ruled out: polling for a hang-up. A read that goes on sees the end behind any bytes, also on pipes. Change: the watcher reads on until the client's end or the answer, which calls it back by the read deadline. A health check needs no watcher any more.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -51,6 +51,14 @@
 	atEnd            // no connection
 )
 
+// What a client has sent on behind a request that is held, in the model.
+const (
+	aheadNone  = iota
+	aheadHalf  // half of its next request
+	aheadWhole // its whole next request
+	aheadMuch  // more than is kept
+)
+
 // FuzzConnection plays random steps of a client, the desk and the phase
 // against the model above: what the desk is told, what the client reads and
 // when the connection ends.
@@ -58,13 +66,22 @@
 	f.Add([]byte{0, 3, 0, 4, 0, 3})
 	f.Add([]byte{1, 2, 3, 1, 4, 5, 6, 0, 8, 3, 6})
 	f.Add([]byte{1, 7, 2, 3, 7, 0, 7, 3})
+	f.Add([]byte{0, 9, 3, 2, 10, 3, 3, 0, 10, 11, 3, 6})
+	f.Add([]byte{0, 9, 4, 0, 9, 10, 4, 1, 2, 10, 4, 0, 11, 4, 0, 9, 11, 4})
+	f.Add([]byte{0, 10, 8, 3, 0, 9, 3, 0, 11, 3})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, d, l := start(t, 8)
-		state, n := atEnd, 0
+		state, ahead, n := atEnd, aheadNone, 0
 		var c *wiretest.Client
 		var r *Request
+		take := func() {
+			r, state = wiretest.Get(t, d.arrivals, "an arrival"), atHeld
+			if r.ID != fmt.Sprint(n) || string(r.Body) != "body" || r.Slots != 2 || r.URI != "/safe/a?b=1" {
+				t.Fatalf("request %d arrived as %+v", n, r)
+			}
+		}
 		answer := func() {
-			ending := d.Ending()
+			ending := d.Ending() || ahead == aheadMuch
 			r.Answer(Answer{Status: 200 + n%2*303, Body: []byte("result"), RetryAfter: 0.25})
 			if got, body := c.Status(t); got != 200+n%2*303 || body != "result" {
 				t.Fatalf("request %d: got %d %q", n, got, body)
@@ -73,20 +90,21 @@
 				c.Ended(t)
 				c.Close()
 				state = atEnd
+			} else if ahead == aheadHalf {
+				n, state = n+1, atPartial
+			} else if ahead == aheadWhole {
+				n++
+				take()
 			}
-		}
-		take := func() {
-			r, state = wiretest.Get(t, d.arrivals, "an arrival"), atHeld
-			if r.ID != fmt.Sprint(n) || string(r.Body) != "body" || r.Slots != 2 || r.URI != "/safe/a?b=1" {
-				t.Fatalf("request %d arrived as %+v", n, r)
-			}
+			ahead = aheadNone
 		}
 		wiretest.Steps(data, 40, func(b byte) {
 			if state == atEnd {
 				c, state = l.Dial(), atIdle
 			}
-			step := int(b) % 9
+			step := int(b) % 12
 			half := len(job(fmt.Sprint(n))) / 2
+			next := job(fmt.Sprint(n + 1))
 			switch {
 			case step == 0 && state == atIdle:
 				n++
@@ -106,7 +124,7 @@
 				if state == atHeld && wiretest.Get(t, d.leaves, "a client's leaving") != r {
 					t.Fatal("another request's client left")
 				}
-				state = atEnd
+				state, ahead = atEnd, aheadNone
 			case step == 5 && state == atIdle:
 				go io.WriteString(c, "nonsense\r\n\r\n")
 				if got, _ := c.Status(t); got != 400 {
@@ -147,9 +165,21 @@
 				}
 			case step == 8:
 				d.ending.Store(true)
+			case step == 9 && state == atHeld && ahead == aheadNone:
+				io.WriteString(c, next[:len(next)/2])
+				ahead = aheadHalf
+			case step == 10 && state == atHeld && ahead == aheadNone:
+				io.WriteString(c, next)
+				ahead = aheadWhole
+			case step == 10 && state == atHeld && ahead == aheadHalf:
+				io.WriteString(c, next[len(next)/2:])
+				ahead = aheadWhole
+			case step == 11 && state == atHeld:
+				io.WriteString(c, strings.Repeat("x", maxHead+1))
+				ahead = aheadMuch
 			}
 		})
-		if state == atHeld {
+		for state == atHeld {
 			answer()
 		}
 		if c != nil {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -131,7 +131,7 @@
 }
 
 // conn is one client connection. Its goroutine reads and writes; while a
-// request is held a second one waits for the next byte or the client's end.
+// request is held a second one reads alone, and waits for the client's end.
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
@@ -140,6 +140,7 @@
 	since time.Time
 	used  int  // requests answered on it
 	shed  bool // came when all places were taken: its request is refused
+	lost  bool // something that it sent was thrown away: its next request can't be told any more
 }
 
 // state is where a connection stands with its client.
@@ -329,31 +330,21 @@
 
 // serve plays one connection: idle, reading, held, answering, and again.
 func (s *Server) serve(c *conn) {
-	next := make(chan error, 1)
 	for {
 		s.enter(c, idle)
 		if _, err := c.r.Peek(1); err != nil {
 			return
 		}
-		for {
-			s.enter(c, reading)
-			again, err := s.one(c, next)
-			if err != nil || !again {
-				s.linger(c, err)
-				return
-			}
-			// The watcher of this request is still out. It returns with the
-			// next request's first byte, or with the connection's end.
-			s.enter(c, idle)
-			if err := <-next; err != nil {
-				return
-			}
+		s.enter(c, reading)
+		if again, err := s.one(c); err != nil || !again {
+			s.linger(c, err)
+			return
 		}
 	}
 }
 
 // one reads a request and sees it answered.
-func (s *Server) one(c *conn, next chan error) (again bool, err error) {
+func (s *Server) one(c *conn) (again bool, err error) {
 	if err := c.head(); err != nil {
 		return false, s.complain(c, err)
 	}
@@ -371,7 +362,6 @@
 			a = Answer{Status: http.StatusOK, Body: []byte("ok\n")}
 		}
 		c.first = time.Time{}
-		go c.watch(next)
 		last := s.phase.Ending() || r.Close
 		return !last, s.send(c, a, last, r.Method == http.MethodHead)
 	}
@@ -394,32 +384,39 @@
 	if !s.enter(c, held) {
 		return false, errLeft
 	}
-	go c.watch(next)
+	gone := make(chan error, 1)
+	go func() { gone <- c.watch() }()
 	s.desk.Arrive(q)
 	var a Answer
-	early := false
 	select {
 	case a = <-answer:
-	case err := <-next:
-		if err != nil {
-			q.Leave() // at once: the desk may be busy for a while
-			s.desk.Leave(q)
-			return false, errLeft
-		}
-		early = true // it has sent on: its next request waits its turn
-		a = <-answer
+		c.SetReadDeadline(time.Unix(1, 0)) // the watcher comes back, and what it read stays
+		err = <-gone
+	case err = <-gone:
+		q.Leave() // at once: the desk may be busy for a while
+		s.desk.Leave(q)
 	}
-	last := s.phase.Ending() || r.Close
-	if early {
-		next <- nil
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, errLeft
 	}
+	last := c.lost || s.phase.Ending() || r.Close
 	return !last, s.send(c, a, last, false)
 }
 
-// watch waits for the next byte, which it leaves in place, or the end.
-func (c *conn) watch(next chan<- error) {
-	_, err := c.r.Peek(1)
-	next <- err
+// watch reads on behind a held request until the read deadline or the client's
+// end, which is the error, since that stands behind all that the client has
+// sent on. What that is stays in the buffer: the client's next request, if it
+// waits for its answer. More than the buffer holds is thrown away.
+func (c *conn) watch() error {
+	for {
+		n := c.r.Buffered()
+		if _, err := c.r.Peek(n + 1); errors.Is(err, bufio.ErrBufferFull) {
+			c.r.Discard(n)
+			c.lost = true
+		} else if err != nil {
+			return err
+		}
+	}
 }
 
 func (s *Server) send(c *conn, a Answer, last, head bool) error {
--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -173,3 +173,15 @@
 	}
 	return b.String()
 }
+
+// DialTCP opens a client's connection over the loopback, closed when the test is over.
+func DialTCP(t *testing.T, addr net.Addr) *Client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &Client{c, bufio.NewReader(c)}
+}
