End idle connections by half: nothing read is lost, nothing crossing resets an answer

Cause: end() looked (sock.Quiet) and closed from another goroutine. A request that came between the two stood unread and reset the connection, with the answer before it; one that the connection's own goroutine had just read was dropped at enter(held). The idle limit and a client's first deadline closed without a look, also over bytes that had come; linger left out connections that were evicted. Change: who wants a connection ended calls its own goroutine back (call, by the read deadline). That one knows what it has read: a request that came first is taken and answered. Else part shuts the sending side, then reads and drops up to the client's end, 128 KiB or 0.2 s, for every way in which a connection ends with an answer or between two. Where descriptors are wanted those that were parted for 20 ms are closed first, so that clients that stay hold none for long. Ruled out: a call that overtakes a connection's first turn (enter(idle) took it back; seen in TestWhoMakesRoom under load, now in TestEnter).

--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -1,12 +1,15 @@
 package ingress
 
 import (
+	"errors"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"example.org/bellstream/internal/sock"
 	"example.org/bellstream/internal/wiretest"
 )
 
@@ -111,3 +114,225 @@
 		t.Errorf("%d arrivals and %d leavings too many", len(d.arrivals), len(d.leaves))
 	}
 }
+
+// all reads answers until the connection ends in good form, and returns their statuses.
+func all(t *testing.T, c *wiretest.Client) (statuses []int) {
+	t.Helper()
+	for {
+		if _, err := c.R.Peek(1); errors.Is(err, io.EOF) {
+			return statuses
+		} else if err != nil {
+			t.Fatalf("after %v: %v", statuses, err)
+		}
+		got, _ := c.Status(t)
+		statuses = append(statuses, got)
+	}
+}
+
+// A request may come between the last look at a connection and its end, for
+// whatever reason that is. It is nobody's: it is not taken, the client sees the
+// connection end and not a reset, and each answer that was written reaches it.
+func TestRequestCrossesTheEnd(t *testing.T) {
+	rest := func(t *testing.T, s *Server, d *desk, c *wiretest.Client) {
+		io.WriteString(c, job("1"))
+		wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
+		wiretest.Until(t, "the connection to rest", func() bool { return s.count(idle) == 1 })
+	}
+	for _, way := range []struct {
+		name string
+		end  func(t *testing.T, s *Server, d *desk, c *wiretest.Client, addr net.Addr)
+		want []int
+	}{
+		{"CloseIdle", func(t *testing.T, s *Server, d *desk, c *wiretest.Client, _ net.Addr) {
+			rest(t, s, d, c)
+			s.CloseIdle(0)
+		}, []int{200}},
+		{"its time is over", func(t *testing.T, s *Server, d *desk, c *wiretest.Client, _ net.Addr) {
+			rest(t, s, d, c)
+			s.mu.Lock()
+			for c := range s.conns {
+				c.SetReadDeadline(time.Unix(1, 0))
+			}
+			s.mu.Unlock()
+		}, []int{200}},
+		{"its seat is wanted", func(t *testing.T, s *Server, d *desk, c *wiretest.Client, addr net.Addr) {
+			rest(t, s, d, c)
+			wiretest.DialTCP(t, addr)
+		}, []int{200}},
+		{"its seat is wanted while it sends", func(t *testing.T, s *Server, d *desk, c *wiretest.Client, addr net.Addr) {
+			rest(t, s, d, c)
+			io.WriteString(c, job("2")[:9])
+			wiretest.Until(t, "the second request's begin", func() bool { return s.count(reading) == 1 })
+			wiretest.DialTCP(t, addr)
+		}, []int{200, 408}},
+		{"its last answer", func(t *testing.T, s *Server, d *desk, c *wiretest.Client, _ net.Addr) {
+			d.ending.Store(true)
+			io.WriteString(c, job("1"))
+			wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
+		}, []int{200}},
+		{"a complaint", func(t *testing.T, s *Server, d *desk, c *wiretest.Client, _ net.Addr) {
+			rest(t, s, d, c)
+			io.WriteString(c, "nonsense\r\n\r\n")
+		}, []int{200, 400}},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			s, d, addr := listen(t, 16) // and one that is turned away
+			s.fresh = 0
+			for range 15 {
+				io.WriteString(wiretest.DialTCP(t, addr), job("held"))
+				wiretest.Get(t, d.arrivals, "an arrival")
+			}
+			var c *wiretest.Client
+			crossed := false
+			s.shuts = func(there net.Conn) {
+				if there.RemoteAddr().String() == c.LocalAddr().String() && !crossed {
+					crossed = true
+					io.WriteString(c, job("crossing"))
+					wiretest.Until(t, "the request", func() bool { return !sock.Quiet(there) })
+				}
+			}
+			c = wiretest.DialTCP(t, addr)
+			way.end(t, s, d, c, addr)
+			got := all(t, c)
+			if !slices.Equal(got, way.want) || !crossed {
+				t.Errorf("got %v, want %v; a request has crossed: %v", got, way.want, crossed)
+			}
+			c.Close()
+			wiretest.Until(t, "its place to be free", func() bool { return s.count(parted) == 0 })
+			if len(d.arrivals) > 0 {
+				t.Errorf("request %s was taken", (<-d.arrivals).ID)
+			}
+		})
+	}
+}
+
+// Clients that rest, and don't mind that their connections are ended, hold no
+// descriptors for long: each of many new ones gets a seat.
+func TestClientsThatStayAreCut(t *testing.T) {
+	s, d, addr := listen(t, 2)
+	s.fresh = 0
+	for range 20 {
+		c := wiretest.DialTCP(t, addr) // stays to the test's end
+		io.WriteString(c, job("1"))
+		wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
+		c.Status(t)
+		if open := s.Open(); open > 3 {
+			t.Errorf("%d connections, want 2 and one that ends", open)
+		}
+	}
+}
+
+// stepped is a listener whose connections call the test between two lines.
+type stepped struct {
+	net.Listener
+	read     func()                         // after a read that brought something
+	deadline func(time.Time) (as time.Time) // in place of a read deadline that is set
+}
+
+func (l *stepped) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &steppedConn{c.(*net.TCPConn), l}, nil
+}
+
+type steppedConn struct {
+	*net.TCPConn
+	l *stepped
+}
+
+func (c *steppedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.l.read != nil {
+		c.l.read()
+	}
+	return n, err
+}
+
+func (c *steppedConn) SetReadDeadline(at time.Time) error {
+	if c.l.deadline != nil {
+		at = c.l.deadline(at)
+	}
+	return c.TCPConn.SetReadDeadline(at)
+}
+
+// A request that was read before its connection was to end, or stands unread
+// when its time is over, is taken and answered.
+func TestRequestBeforeTheEnd(t *testing.T) {
+	for _, way := range []string{"read", "unread"} {
+		t.Run(way, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			d := &desk{arrivals: make(chan *Request, 1), leaves: make(chan *Request, 1)}
+			steps := &stepped{Listener: l}
+			s := NewServer(classes, d, d, 8, t.Logf)
+			s.slowest = time.Hour
+			c := wiretest.DialTCP(t, l.Addr())
+			switch times := 0; way {
+			case "read":
+				steps.read = func() {
+					if times++; times == 1 {
+						s.CloseIdle(0)
+					}
+				}
+			case "unread":
+				steps.deadline = func(at time.Time) time.Time {
+					if times++; times > 1 {
+						return at
+					}
+					io.WriteString(c, job("1"))
+					wiretest.Until(t, "the request", func() bool {
+						for there := range s.conns { // which the caller has locked
+							return !sock.Quiet(there.Conn)
+						}
+						return false
+					})
+					return time.Unix(1, 0)
+				}
+			}
+			go s.Serve(steps)
+			if way == "read" {
+				io.WriteString(c, job("1"))
+			}
+			wiretest.Get(t, d.arrivals, "the request").Answer(Answer{Status: 200})
+			if got, _ := c.Status(t); got != 200 {
+				t.Errorf("got %d, want 200", got)
+			}
+		})
+	}
+}
+
+// A connection that is to end does so, though its goroutine had no turn yet,
+// and only what came before changes that. Whatever happens, those that are
+// ending are counted.
+func TestEnter(t *testing.T) {
+	for from := idle; from < parted; from++ {
+		for next := idle; next <= parted; next++ {
+			if next == called || next == evicted {
+				continue // others call it that
+			}
+			want := next
+			if from == called && next == idle || from == evicted && next < held {
+				want = from
+			}
+			s := NewServer(classes, nil, nil, 8, t.Logf)
+			here, _ := net.Pipe()
+			c := &conn{Conn: here, state: from}
+			s.conns[c] = true
+			if from >= called {
+				s.going = 1
+			}
+			s.enter(c, next)
+			if c.state != want || s.going != s.count(called)+s.count(evicted)+s.count(parted) {
+				t.Errorf("from %d to %d: got %d, %d going", from, next, c.state, s.going)
+			}
+			if s.drop(c); s.going != 0 {
+				t.Errorf("from %d to %d: %d going at the end", from, next, s.going)
+			}
+		}
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -18,12 +18,14 @@
 
 // Limits of one connection.
 const (
-	slowest  = 2 * time.Second // from a connection's start, or a later request's first byte, to a request's last byte
-	idleTime = 2 * time.Minute // between requests
-	sendTime = 5 * time.Second // to write an answer
-	fresh    = 250 * time.Millisecond
-	vanish   = time.Second          // for which a class that the settings no longer name is taken
-	fullWait = 5 * time.Millisecond // between looks for a seat when all are taken
+	slowest   = 2 * time.Second // from a connection's start, or a later request's first byte, to a request's last byte
+	idleTime  = 2 * time.Minute // between requests
+	sendTime  = 5 * time.Second // to write an answer
+	fresh     = 250 * time.Millisecond
+	vanish    = time.Second            // for which a class that the settings no longer name is taken
+	fullWait  = 5 * time.Millisecond   // between looks for a seat when all are taken
+	partTime  = 200 * time.Millisecond // for a client to end its side of a connection that ends
+	partLeast = 20 * time.Millisecond  // the same, where its descriptor is wanted
 )
 
 // Desk takes what the clients' side has to tell. Its calls return soon.
@@ -47,11 +49,12 @@
 	slowest time.Duration
 	fresh   time.Duration // how long a connection has to bring a byte before it may make room; twice that for a request
 	log     func(format string, args ...any)
+	shuts   func(net.Conn) // a test's: called right before a connection's sending side is shut
 
 	mu     sync.Mutex
 	most   int // connections at one time
 	conns  map[*conn]bool
-	going  int           // of them, those that were evicted
+	going  int           // of them, those that are to end or are ending
 	l      net.Listener  // that Serve accepts from
 	parked chan struct{} // closed when new connections are taken again; nil: they are taken
 	taken  atomic.Int64  // requests read and not yet answered on the wire
@@ -124,8 +127,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	full := func() bool { return len(s.conns) > s.most+s.most/16 }
-	if full() && s.going == 0 {
-		s.evict()
+	if full() {
+		s.makeRoom()
 	}
 	return !full()
 }
@@ -150,7 +153,9 @@
 	idle    state = iota // between requests
 	reading              // some of a request has come
 	held                 // a whole one has: an answer is owed
-	evicted              // ended to make room
+	called               // it was idle and is to end, unless a request has come
+	evicted              // it was reading and is to end, unless all of its request has come
+	parted               // no answer can be written any more: what comes is thrown away
 )
 
 // Serve accepts connections until the listener is closed.
@@ -183,7 +188,7 @@
 				said = time.Now()
 			}
 			s.mu.Lock()
-			s.evict()
+			s.makeRoom()
 			s.mu.Unlock()
 			time.Sleep(fullWait)
 			continue
@@ -196,12 +201,8 @@
 		s.mu.Unlock()
 		go func() {
 			s.serve(c)
-			nc.Close()
 			s.mu.Lock()
-			if s.conns[c] && c.state == evicted {
-				s.going--
-			}
-			delete(s.conns, c)
+			s.drop(c)
 			s.mu.Unlock()
 		}()
 	}
@@ -217,9 +218,8 @@
 // Taken is how many requests were read and have no answer on the wire yet.
 func (s *Server) Taken() int { return int(s.taken.Load()) }
 
-// evict ends one connection to make room, and says whether there was one. Many
-// that stay idle or send slowly must not keep the others out, nor wait for
-// their own end: the seat of one that is idle is free at once. It wants mu.
+// evict has one connection end to make room, and says whether there was one.
+// Many that stay idle or send slowly must not keep the others out. It wants mu.
 func (s *Server) evict() bool {
 	now := time.Now()
 	for {
@@ -234,9 +234,7 @@
 		case victim == nil:
 			return false
 		case victim.state == reading:
-			victim.state = evicted // its goroutine says so to the client
-			victim.SetReadDeadline(now)
-			s.going++
+			s.call(victim, evicted) // its goroutine says so to the client
 			return true
 		case s.end(victim):
 			return true
@@ -266,16 +264,45 @@
 	return kept
 }
 
-// end closes an idle connection at once, unless a request stands unread on
-// it, and says whether it did. It wants mu.
+// end has an idle connection end, unless a request stands unread on it, and
+// says whether it did. It wants mu.
 func (s *Server) end(c *conn) bool {
 	if !sock.Quiet(c.Conn) {
 		return false
 	}
-	c.state = evicted
+	s.call(c, called)
+	return true
+}
+
+// call has a connection's own goroutine end it: that one alone knows what was
+// read, and so whether a request came first. It wants mu.
+func (s *Server) call(c *conn, to state) {
+	c.state = to
+	s.going++
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// makeRoom has a descriptor become free. First to go is what was parted for
+// long enough; what else is ending is soon gone by itself. It wants mu.
+func (s *Server) makeRoom() {
+	for c := range s.conns {
+		if c.state == parted && time.Since(c.since) >= partLeast {
+			s.drop(c)
+			return
+		}
+	}
+	if s.going == 0 {
+		s.evict()
+	}
+}
+
+// drop closes a connection and forgets it. It wants mu.
+func (s *Server) drop(c *conn) {
+	if s.conns[c] && c.state >= called {
+		s.going--
+	}
 	delete(s.conns, c)
 	c.Close()
-	return true
 }
 
 // CloseIdle ends the connections that stand between two requests. One that
@@ -291,19 +318,18 @@
 }
 
 // enter moves a connection to its next state, with the time that it may last.
-// It is false where the connection was closed to make room: no request of it
-// may be taken any more, as no answer could reach the client.
-func (s *Server) enter(c *conn, next state) bool {
+func (s *Server) enter(c *conn, next state) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case !s.conns[c]:
-		return false
-	case c.state == evicted && next != held:
-		return true // its end stands, whatever came meanwhile short of a whole request
-	case c.state == evicted:
+	if c.state == evicted && next < held || c.state == called && next == idle {
+		return // its end stands, whatever came meanwhile short of a whole request, or while it had no turn
+	}
+	if c.state >= called {
 		s.going--
 	}
+	if next >= called {
+		s.going++
+	}
 	if next == idle && c.state != idle {
 		c.used++
 	}
@@ -324,25 +350,47 @@
 	case held: // the watcher waits for as long as the answer takes
 		c.first = time.Time{}
 		c.SetReadDeadline(time.Time{})
+	case parted:
+		c.SetReadDeadline(c.since.Add(partTime))
 	}
-	return true
 }
 
 // serve plays one connection: idle, reading, held, answering, and again.
 func (s *Server) serve(c *conn) {
-	for {
-		s.enter(c, idle)
-		if _, err := c.r.Peek(1); err != nil {
+	for s.next(c) {
+		again, err := s.one(c)
+		if err != nil {
 			return
 		}
-		s.enter(c, reading)
-		if again, err := s.one(c); err != nil || !again {
-			s.linger(c, err)
+		if !again {
+			s.part(c)
 			return
 		}
 	}
 }
 
+// next waits for a request's first byte, and says whether it came. Otherwise
+// the connection ends: its client has gone, its time is over, or its seat is wanted.
+func (s *Server) next(c *conn) bool {
+	s.enter(c, idle)
+	_, err := c.r.Peek(1)
+	if late(err) && !sock.Quiet(c.Conn) { // a byte came in the last moment
+		c.first = time.Time{}
+		s.enter(c, reading)
+		_, err = c.r.Peek(1)
+	}
+	if late(err) {
+		s.part(c)
+	}
+	if err == nil {
+		s.enter(c, reading)
+	}
+	return err == nil
+}
+
+// late says that a read ended by its deadline.
+func late(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // one reads a request and sees it answered.
 func (s *Server) one(c *conn) (again bool, err error) {
 	if err := c.head(); err != nil {
@@ -381,9 +429,7 @@
 	q.Answer = func(a Answer) { answer <- a }
 	s.taken.Add(1)
 	defer s.taken.Add(-1)
-	if !s.enter(c, held) {
-		return false, errLeft
-	}
+	s.enter(c, held)
 	gone := make(chan error, 1)
 	go func() { gone <- c.watch() }()
 	s.desk.Arrive(q)
@@ -396,7 +442,7 @@
 		q.Leave() // at once: the desk may be busy for a while
 		s.desk.Leave(q)
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !late(err) {
 		return false, errLeft
 	}
 	last := c.lost || s.phase.Ending() || r.Close
@@ -443,20 +489,17 @@
 	return nil
 }
 
-// linger ends a connection so that an answer just written is not lost: what
-// the client still sends is read for a moment, as closing at once would reset
-// the connection under the answer.
-func (s *Server) linger(c *conn, err error) {
-	s.mu.Lock()
-	gone := c.state == evicted // its place is wanted, and all that came was read
-	s.mu.Unlock()
-	if err != nil || gone {
-		return
+// part ends the sending side of a connection, and reads for a moment what the
+// client still sends. Closed over unread bytes the connection would be reset,
+// and the last answer might be lost with it. A request among them is the
+// client's to send again: none can be answered here any more.
+func (s *Server) part(c *conn) {
+	s.enter(c, parted)
+	if s.shuts != nil {
+		s.shuts(c.Conn)
 	}
-	t, ok := c.Conn.(*net.TCPConn)
-	if !ok || t.CloseWrite() != nil {
-		return
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok && half.CloseWrite() == nil {
+		io.CopyN(io.Discard, c.Conn, 2*maxBody)
 	}
-	c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-	io.CopyN(io.Discard, c.Conn, 2*maxBody)
 }
