Give the 100 Continue its own time to be written

A client that rested for longer and then sent Expect: 100-continue was cut off without an answer: the write of the 100 in one() ran into the deadline of the answer before. Change: the deadline is set anew before it.

--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"example.org/bellstream/internal/sock"
@@ -336,3 +337,27 @@
 		}
 	}
 }
+
+// The time to write an answer is over long before the client's next request.
+// That must not bear on what is written for that one.
+func TestContinueAfterARest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, d, l := start(t, 8)
+		c := l.Dial()
+		defer c.Close()
+		io.WriteString(c, job("1"))
+		wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
+		c.Status(t)
+		time.Sleep(sendTime + time.Second) // by the bubble's clock
+		head, body, _ := strings.Cut(job("2"), "\r\n\r\n")
+		io.WriteString(c, head+"\r\nExpect: 100-continue\r\n\r\n")
+		if got, _ := c.Status(t); got != 100 {
+			t.Fatalf("got %d, want 100", got)
+		}
+		io.WriteString(c, body)
+		wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
+		if got, _ := c.Status(t); got != 200 {
+			t.Errorf("got %d, want 200", got)
+		}
+	})
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -414,6 +414,7 @@
 		return !last, s.send(c, a, last, r.Method == http.MethodHead)
 	}
 	if r.ContentLength <= maxBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		c.SetWriteDeadline(time.Now().Add(sendTime)) // that of the answer before is long over
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return false, err
 		}
