Mark a client's leaving though the desk is busy with its request

Cause: one() marked the request after Desk.Arrive had come back. That call waits while the loop's queue is full, so that a client that went meanwhile, or right behind its last byte, was not marked. Change: the watcher, which sees the end, marks the request itself; the desk is told as before.

--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -361,3 +361,27 @@
 		}
 	})
 }
+
+// busy is a desk that takes a request in only once its client has left.
+type busy struct{ *desk }
+
+func (b busy) Arrive(r *Request) {
+	for !r.Left() {
+		time.Sleep(time.Millisecond)
+	}
+	b.desk.Arrive(r)
+}
+
+// The desk may be busy when a request comes: that its client has gone, right
+// behind its last byte or later, stands on the request all the same.
+func TestLeavesWhileTheDeskIsBusy(t *testing.T) {
+	s, d, addr := listen(t, 8)
+	s.desk = busy{d}
+	c := wiretest.DialTCP(t, addr)
+	io.WriteString(c, job("1"))
+	c.Close()
+	r := wiretest.Get(t, d.arrivals, "the request of a client that has gone")
+	if wiretest.Get(t, d.leaves, "the client's leaving") != r {
+		t.Error("another request's client left")
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -432,7 +432,13 @@
 	defer s.taken.Add(-1)
 	s.enter(c, held)
 	gone := make(chan error, 1)
-	go func() { gone <- c.watch() }()
+	go func() {
+		err := c.watch()
+		if !late(err) {
+			q.Leave() // at once: the desk may be busy for a while
+		}
+		gone <- err
+	}()
 	s.desk.Arrive(q)
 	var a Answer
 	select {
@@ -440,7 +446,6 @@
 		c.SetReadDeadline(time.Unix(1, 0)) // the watcher comes back, and what it read stays
 		err = <-gone
 	case err = <-gone:
-		q.Leave() // at once: the desk may be busy for a while
 		s.desk.Leave(q)
 	}
 	if !late(err) {
