--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -152,6 +152,9 @@
 	offered  float64       // when it came to the module
 	step     uint64        // the step that took it in; 0: it waits for others or for a time
 	promised float64       // its longest wait for a first hop; 0: none
+	window   float64       // in which it may go out again once it may have run; 0: as often as the module says
+	sent     float64       // when its last hop was decided
+	ran      float64       // the same of the first that may have run; 0: none
 }
 
 func (h *held) out() bool {
@@ -409,9 +412,8 @@
 	case arrived:
 		d.arrive(p.req)
 	case left:
-		if h := d.held[p.req.ID]; h != nil && h.req == p.req && !h.answered {
-			d.events = append(d.events, balance.JobGone{ID: p.req.ID})
-			d.close(h, waiting.Left)
+		if h := d.held[p.req.ID]; h != nil && h.req == p.req {
+			d.gone(h)
 		}
 	case hopNews:
 		d.hop(p)
@@ -472,7 +474,7 @@
 	if d.noteIDs != nil {
 		(*d.noteIDs)([]string{strings.Clone(r.ID)})
 	}
-	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout))}
+	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), window: d.window(r.Class)}
 	if !d.admit(h) {
 		return
 	}
@@ -498,6 +500,14 @@
 		Left: left, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Fresh: waited})
 }
 
+// gone closes a request whose client has left, once.
+func (d *Dispatcher) gone(h *held) {
+	if !h.answered {
+		d.events = append(d.events, balance.JobGone{ID: h.req.ID})
+		d.close(h, waiting.Left)
+	}
+}
+
 // hop takes news of an attempt. News that comes after the attempt was ended
 // from here finds no hop and is dropped.
 func (d *Dispatcher) hop(p hopNews) {
@@ -509,9 +519,12 @@
 		return
 	}
 	p.h.hops[p.n] = nil
+	if p.h.req.Left() { // its leave is on its way here: what the module hears of this attempt must not bring on another
+		d.gone(p.h)
+	}
 	if p.news.Outcome == balance.Served {
 		d.answer(p.h, ingress.Answer{Status: http.StatusOK, Body: p.news.Result})
-	} else if p.news.Outcome != balance.Full {
+	} else if p.news.Outcome != balance.Full && !p.h.answered {
 		d.Log("request %s: hop %d to %s: %s (%s)", p.h.req.ID, p.n, p.host, p.news.Outcome, p.news.Why)
 	}
 	d.outcome(p.h, p.n, p.news.Outcome, p.news.Report)
@@ -527,9 +540,13 @@
 
 func (d *Dispatcher) outcome(h *held, n int, o balance.Outcome, report []float64) {
 	h.hops[n] = nil
-	if d.Counter != nil && (o == balance.Full || o == balance.Unreachable || o == balance.Void) {
+	unrun := o == balance.Full || o == balance.Unreachable || o == balance.Void || o == balance.Barred
+	if d.Counter != nil && unrun {
 		d.Counter.Back(h.req.Tenant, h.size()) // as the module does with its tags
 	}
+	if h.ran == 0 && (!unrun || o == balance.Full && d.Settings.Rules.FullUnproven) {
+		h.ran = h.sent
+	}
 	d.events = append(d.events, balance.AttemptDone{ID: h.req.ID, Attempt: n, Outcome: o, Closed: h.answered, Report: report})
 	if !h.answered && !h.out() {
 		d.enter(h, waiting.Queued) // the module has it wait for another hop, or answers it
@@ -621,30 +638,56 @@
 	return d.Settings.Reporting.Fields
 }
 
-// send starts an attempt.
+// window is how long workers recognise repeats of a keyed class, as a job of it comes; 0 for others.
+func (d *Dispatcher) window(class string) float64 {
+	for _, l := range d.ruled().Lanes {
+		if l.Name == class && l.Semantics == string(balance.Keyed) {
+			return l.RepeatWindow
+		}
+	}
+	return 0
+}
+
+// send starts an attempt. A repeat has to be out whole within the window of the first that may have
+// run: that one's decision comes before it was at its worker, so what is out by then is in time.
 func (d *Dispatcher) send(a balance.Send) {
 	h := d.held[a.ID]
 	if h == nil || h.answered {
 		return
 	}
 	n := len(h.hops)
+	if h.req.Left() { // its leave is on its way here
+		d.gone(h)
+		d.events = append(d.events, balance.AttemptDone{ID: a.ID, Attempt: n, Outcome: balance.Barred, Closed: true})
+		return
+	}
 	if n == 0 {
 		d.firstHop(h)
 	}
 	if d.Counter != nil {
 		d.Counter.Start(h.req.Tenant, h.size())
 	}
-	addr, ok := d.table.Dial(a.Worker)
-	if !ok {
+	way := d.table.Way(a.Worker)
+	if way == nil {
 		h.hops = append(h.hops, nil)
 		d.outcome(h, n, balance.Unreachable, nil)
 		return
 	}
+	until := h.deadline
+	if h.window > 0 && h.ran > 0 {
+		until = min(until, h.ran+h.window)
+	}
+	h.sent = d.last
 	by := d.ruling
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
-		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields(),
-		Barred: func() balance.Outcome { return d.barred(a.Worker, n > 0, by) }}
-	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
+		Body: h.req.Body, Deadline: d.time(h.deadline), Until: d.time(until), Fields: d.fields(),
+		Barred: func() balance.Outcome {
+			if h.req.Left() || way.Shut() {
+				return balance.Barred
+			}
+			return d.barred(a.Worker, n > 0, by)
+		}}
+	h.hops = append(h.hops, d.Egress.Start(o, way.Addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
 }
 
 // subscribe starts a watch, in place of one that may still be open.
