Have a lower limit on descriptors close idle hop connections at once, not one a hop

Seen while looking at what SIGHUP and an upgrade do to descriptors: Pool.Resize only set the figure, and reserve closed a single idle connection for each new one. With 8 open and idle and a limit that became 3, each of the next five hops to another worker closed one, found the pool still over its limit, and ended as Full: an attempt spent each, and the process stayed over its limit meanwhile. Resize, reserve and put now close idle connections, the longest idle first, until the limit holds.

TestLowerLimit is red without it at egress_test.go:339 '6 idle and 8 open connections right after the limit became 3, want 1 and 3' and at :355, where the hops to the other worker never go out; green with it, five times under -race.

--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -321,6 +321,44 @@
 	}
 }
 
+// A lower limit, as in every upgrade, takes effect on idle connections at once, and on busy ones as
+// they come back: the next hop finds a place.
+func TestLowerLimit(t *testing.T) {
+	target, other, p := wiretest.NewTarget(t), wiretest.NewTarget(t), newPool()
+	news := make(chan News, 16)
+	tell := func(n News) { news <- n }
+	var calls []*wiretest.Call
+	for range 8 {
+		p.Start(order(), target.Addr, tell)
+		calls = append(calls, wiretest.Get(t, target.Calls, "a request"))
+	}
+	for n, c := range calls {
+		if n == 6 {
+			p.Resize(3)
+			if idle, open := p.counts(); idle != 1 || open != 3 {
+				t.Errorf("%d idle and %d open connections right after the limit became 3, want 1 and 3", idle, open)
+			}
+		}
+		c.Reply(wiretest.Lines(true, done))
+		outcome(t, news)
+		wiretest.Until(t, "the connection to come back", func() bool {
+			idle, open := p.counts()
+			return idle == open-(7-n)
+		})
+	}
+	if idle, open := p.counts(); idle != 3 || open != 3 {
+		t.Errorf("%d idle and %d open connections, want 3", idle, open)
+	}
+	p.Start(order(), other.Addr, tell)
+	p.Start(order(), other.Addr, tell)
+	for range 2 {
+		wiretest.Get(t, other.Calls, "a request of a new connection").Reply(wiretest.Lines(true, done))
+		if n := outcome(t, news); n.Outcome != balance.Served {
+			t.Errorf("got %+v", n)
+		}
+	}
+}
+
 func TestProbes(t *testing.T) {
 	target, p := wiretest.NewTarget(t), newPool()
 	for _, c := range []struct {
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -106,9 +106,7 @@
 			return c, nil
 		}
 	}
-	if p.open >= p.Max && len(p.idle) > 0 {
-		p.drop(0)
-	}
+	p.trim(p.Max - 1)
 	if p.open >= p.Max {
 		return nil, errCrowded
 	}
@@ -116,11 +114,20 @@
 	return nil, nil
 }
 
-// Resize changes how many connections there may be. Those that are open stay.
+// Resize changes how many connections there may be. Idle ones that are too many are
+// closed at once, busy ones when they come back.
 func (p *Pool) Resize(most int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Max = most
+	p.trim(most)
+}
+
+// trim closes idle connections, the longest idle first, while more than most are open. It wants mu.
+func (p *Pool) trim(most int) {
+	for p.open > most && len(p.idle) > 0 {
+		p.drop(0)
+	}
 }
 
 // Retune changes the times of dialling and of keeping idle connections, for
@@ -150,6 +157,7 @@
 	}
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
+	p.trim(p.Max)
 	p.mu.Unlock()
 }
 
