Have a lower limit end idle client connections at once, not as others connect

After a SIGHUP that lowers the limit, or beside a second process that shares it, a process that nobody connects to any more stayed over its limit for as long as its idle clients stayed. Resize now has those make room that may, by the rule that holds for new ones: none that is owed an answer.

TestLowerLimit is red without it at ingress_test.go:320 '13 connections right after the limit became 4, want 3 that are held and 5 that are slow'; green with it, twenty times under -race.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -288,6 +289,63 @@
 	}
 }
 
+// A lower limit takes effect at once, also where nobody connects any more: idle connections are
+// closed, slow ones told so, and none that is owed an answer is touched.
+func TestLowerLimit(t *testing.T) {
+	s, d, l := start(t, 16)
+	s.fresh, s.slowest = 0, time.Hour
+	var held, idles, slow []*wiretest.Client
+	for range 3 {
+		c := l.Dial()
+		defer c.Close()
+		io.WriteString(c, job(fmt.Sprint(len(held))))
+		held = append(held, c)
+	}
+	var asked []*Request
+	for range held {
+		asked = append(asked, wiretest.Get(t, d.arrivals, "an arrival"))
+	}
+	for range 5 {
+		c := l.Dial()
+		defer c.Close()
+		io.WriteString(c, "POST /safe HTTP/1.1\r\nHost:")
+		slow = append(slow, c)
+		c = l.Dial()
+		defer c.Close()
+		idles = append(idles, c)
+	}
+	wiretest.Until(t, "all to be known", func() bool { return s.count(idle) == 5 && s.count(reading) == 5 && s.Open() == 13 })
+	s.Resize(4)
+	if got := s.Open(); got != 8 {
+		t.Fatalf("%d connections right after the limit became 4, want 3 that are held and 5 that are slow", got)
+	}
+	for _, c := range idles {
+		c.Ended(t)
+	}
+	told := make(chan int, len(slow))
+	for _, c := range slow {
+		go func() {
+			if resp, err := http.ReadResponse(c.R, nil); err == nil {
+				told <- resp.StatusCode
+			}
+		}()
+	}
+	for range 4 {
+		if got := wiretest.Get(t, told, "a slow client to be told"); got != 408 {
+			t.Errorf("a slow client got %d, want 408", got)
+		}
+	}
+	wiretest.Until(t, "those that were told to be gone", func() bool { return s.Open() == 4 && s.count(reading) == 1 })
+	for n, r := range asked {
+		r.Answer(Answer{Status: 200 + n})
+	}
+	for _, c := range held {
+		if got, _ := c.Status(t); got < 200 || got > 202 {
+			t.Errorf("a held request got %d", got)
+		}
+	}
+}
+
 // A listener that runs out of descriptors must not end the program.
 func TestAcceptErrorIsNoEnd(t *testing.T) {
 	d := &desk{arrivals: make(chan *Request, 1)}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -84,11 +84,14 @@
 	s.classes.Store(&next)
 }
 
-// Resize changes how many connections there may be. Those that are open stay.
+// Resize changes how many connections there may be. Too many of them make room at
+// once, as far as they may, and not one by one as others come.
 func (s *Server) Resize(most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.most = most
+	for len(s.conns)-s.going > most+most/16 && s.evict() {
+	}
 }
 
 // Hold has no new connections taken, or takes them again. The listener stays
