Show that the names of a deployment decide nothing

Nothing held it that classes, tenants, zones and kinds are told apart by their names and by nothing else. No fault was found.

--- a/balance/recorded_test.go
+++ b/balance/recorded_test.go
@@ -12,6 +12,12 @@
 // seed, and returns a digest of all its actions in order. The stream does not
 // depend on anything but the seed and the actions themselves.
 func stream(t *testing.T, cfg Config, seed uint64, extra func(b *Balancer, now float64) []Event) string {
+	t.Helper()
+	return streamAs(t, cfg, seed, extra, func(name string) string { return name })
+}
+
+// streamAs is stream with other names for the classes, tenants, zones and kinds of its events; cfg is taken as it is.
+func streamAs(t *testing.T, cfg Config, seed uint64, extra func(b *Balancer, now float64) []Event, as func(string) string) string {
 	t.Helper()
 	b, err := New(cfg, seed)
 	if err != nil {
@@ -27,7 +33,7 @@
 	put := func(after float64, e Event) { later = append(later, due{now + after, e}) }
 	var list []WorkerInfo
 	for i := range 8 {
-		list = append(list, WorkerInfo{ID: fmt.Sprint("w", i), Zone: []string{"here", "there"}[i%2], Kind: "k", State: Running, Cell: i})
+		list = append(list, WorkerInfo{ID: fmt.Sprint("w", i), Zone: as([]string{"here", "there"}[i%2]), Kind: as("k"), State: Running, Cell: i})
 	}
 	events := []Event{RosterUpdate{Kind: RosterSaved, Workers: list}}
 	attempts := map[string]int{}
@@ -60,7 +66,7 @@
 		events = nil
 		for range r.IntN(3) {
 			n++
-			events = append(events, JobArrived{ID: fmt.Sprint("j", n), Class: classes[r.IntN(3)], Tenant: tenants[r.IntN(3)],
+			events = append(events, JobArrived{ID: fmt.Sprint("j", n), Class: as(classes[r.IntN(3)]), Tenant: as(tenants[r.IntN(3)]),
 				Left: 1 + 9*r.Float64(), Slots: float64(r.IntN(3)), Retry: r.IntN(9) == 0})
 		}
 		if r.IntN(400) == 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -63,3 +64,31 @@
 		t.Error("a missing file is no error")
 	}
 }
+
+// Names are handed on as they stand: settings under other names mean the same under those names, and
+// what they do not give is the same for all.
+func TestNamesMeanNothing(t *testing.T) {
+	parse := func(text string) balance.Config {
+		s, err := Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Config()
+	}
+	// In JSON's quotes, so that no other key or figure is met.
+	others := []string{`"a"`, `"zz 9"`, `"b"`, `"a"`, `"p"`, `"fana"`, `"fana"`, `"p"`, `"big"`, `"small"`, `"small"`, `"ä"`}
+	again := strings.NewReplacer(others...)
+	want, got := parse(object), parse(again.Replace(object))
+	as := func(name string) string { return strings.Trim(again.Replace(`"`+name+`"`), `"`) }
+	want.Zone = as(want.Zone)
+	for i := range want.Classes {
+		k := &want.Classes[i]
+		k.Name, k.Kind = as(k.Name), as(k.Kind)
+	}
+	for i := range want.Tenants {
+		want.Tenants[i].Name = as(want.Tenants[i].Name)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("under other names %+v, want %+v", got, want)
+	}
+}
