--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
-# Targets: build, test, race, fuzz, lint, run, check, claims.
+# Targets: build, test, race, fuzz, lint, run, check, claims, sites.
 CONFIG ?= config.json
 FUZZTIME ?= 30s
 # Of the experiments; 0 draws one, which is printed.
 SEED ?= 0
+# Where the bench is, and which of its files stand beside a site file.
+GIVEN ?= ../given
+BESIDE = real.json wire.json unlock.txt
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -46,4 +49,10 @@
 claims: build
 	bin/bellstream-lab run all --quick --seed $(SEED)
 
-.PHONY: build test race fuzz lint generate run check claims
+# What the bench wants beside the site files of deploy/sites; git ignores it there.
+sites:
+	@for f in $(BESIDE); do test -r $(GIVEN)/kit/more/mass/other/$$f || \
+		{ echo "sites: no $(GIVEN)/kit/more/mass/other/$$f: is the bench here? GIVEN=FOLDER says where" >&2; exit 1; }; done
+	install -m 644 $(BESIDE:%=$(GIVEN)/kit/more/mass/other/%) deploy/sites/
+
+.PHONY: build test race fuzz lint generate run check claims sites
