Let a tenant's long queue keep its gaps when another Balancer goes on with it

The cause: jobs that went leave gaps in their group (queue.remove), and group.ends halves a long group by places, gaps included. What is hopeless is by born, the order by arrived, so the search need not meet the same first job in a group with the same jobs at other places. takeOver built groups without gaps.

--- a/balance/queue.go
+++ b/balance/queue.go
@@ -105,6 +105,16 @@
 	g.number()
 }
 
+// spread moves a job on to a place, where only gaps follow up to there.
+func (g *group) spread(j *job, to int) {
+	for len(g.jobs) <= to {
+		g.jobs = append(g.jobs, nil)
+	}
+	if last := g.last(to); last == j {
+		g.jobs[j.at], g.jobs[to], j.at = nil, j, to
+	}
+}
+
 // last is the last job at or before an index.
 func (g *group) last(i int) *job {
 	for ; i >= 0; i-- {
--- a/balance/yield_test.go
+++ b/balance/yield_test.go
@@ -14,7 +14,7 @@
 	for name, cfg := range recordedConfigs() {
 		for _, wait := range []float64{0, 8} {
 			cfg.Classes[0].MaxWait = wait
-			for seed := range uint64(2) {
+			for seed := range uint64(5) { // in the fifth, a search in a long queue meets gaps
 				r := rand.New(rand.NewPCG(seed, 5))
 				moves, jobs := 0, 0
 				got := stream(t, cfg, seed, func(b *Balancer, now float64) []Event {
