--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -217,6 +217,7 @@
 		io.WriteString(c, job("1"))
 		wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
 		c.Status(t)
+		wiretest.Until(t, "the connection to rest", func() bool { return s.count(held) == 0 })
 		if open := s.Open(); open > 3 {
 			t.Errorf("%d connections, want 2 and one that ends", open)
 		}
