Let a test end only resting connections, and nothing follow a client's leaving

TestRequestCrossesTheEnd let the time of held connections be over as well, which the server never does, and the watcher came back early. A request whose watcher is back before its answer is now told as left and answered no more, whatever brought the watcher back.

--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -152,7 +152,9 @@
 			rest(t, s, d, c)
 			s.mu.Lock()
 			for c := range s.conns {
-				c.SetReadDeadline(time.Unix(1, 0))
+				if c.state == idle {
+					c.SetReadDeadline(time.Unix(1, 0))
+				}
 			}
 			s.mu.Unlock()
 		}, []int{200}},
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -444,11 +444,11 @@
 	select {
 	case a = <-answer:
 		c.SetReadDeadline(time.Unix(1, 0)) // the watcher comes back, and what it read stays
-		err = <-gone
-	case err = <-gone:
+		if !late(<-gone) {
+			return false, errLeft
+		}
+	case <-gone:
 		s.desk.Leave(q)
-	}
-	if !late(err) {
 		return false, errLeft
 	}
 	last := c.lost || s.phase.Ending() || r.Close
