--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -152,7 +152,9 @@
 			rest(t, s, d, c)
 			s.mu.Lock()
 			for c := range s.conns {
-				c.SetReadDeadline(time.Unix(1, 0))
+				if c.state == idle {
+					c.SetReadDeadline(time.Unix(1, 0))
+				}
 			}
 			s.mu.Unlock()
 		}, []int{200}},
@@ -217,6 +219,7 @@
 		io.WriteString(c, job("1"))
 		wiretest.Get(t, d.arrivals, "an arrival").Answer(Answer{Status: 200})
 		c.Status(t)
+		wiretest.Until(t, "the connection to rest", func() bool { return s.count(held) == 0 })
 		if open := s.Open(); open > 3 {
 			t.Errorf("%d connections, want 2 and one that ends", open)
 		}
