--- a/internal/egress/crossing_test.go
+++ b/internal/egress/crossing_test.go
@@ -1,8 +1,10 @@
 package egress
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,3 +59,121 @@
 		}
 	}
 }
+
+// A second answer may come when the connection carries the next request already. No job that must not run
+// twice is taken for unstarted by it, nor any attempt for ended that is out on an open connection.
+func TestSecondAnswerUnderTheNextRequest(t *testing.T) {
+	const turned = "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+	line := func(state string) string {
+		return wiretest.Lines(true, `{"id":"r","state":"`+state+`","result":"old"}`)
+	}
+	for _, c := range []struct {
+		name, raw, late string
+		once            bool
+		no              int             // of the connection on which the next request comes
+		next            balance.Outcome // where the late one is taken for its answer
+	}{
+		{"served, then turned away", line("done"), turned, true, 2, ""},
+		{"served, then turned away, and the next may run twice", line("done"), turned, false, 1, balance.Stale},
+		{"returned twice, and the job comes once more", line("returned"), line("returned"), true, 2, ""},
+		{"failed twice, and the job comes once more", line("failed"), line("failed"), false, 2, ""},
+		{"returned, then turned away", line("returned"), turned, false, 2, ""},
+		{"an error, then turned away", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", turned, false, 2, ""},
+	} {
+		target, p := wiretest.NewTarget(t), newPool()
+		now := time.Now()
+		p.Now = func() time.Time { return now }
+		hop := func() (*wiretest.Call, chan News) {
+			o, news := order(), make(chan News, 8)
+			o.Once = c.once
+			p.Start(o, target.Addr, func(n News) { news <- n })
+			return wiretest.Get(t, target.Calls, "a request"), news
+		}
+		first, news := hop()
+		first.Reply(c.raw)
+		outcome(t, news)
+		wiretest.Until(t, "the connection's return", func() bool { idle, _ := p.counts(); return idle == 1 })
+		now = now.Add(settle - 1)
+		next, news := hop()
+		first.Reply(c.late)
+		want := c.next
+		if want == "" {
+			want = balance.Served
+			next.Reply(wiretest.Lines(true, done))
+		}
+		if n := outcome(t, news); next.No != c.no || n.Outcome != want || want == balance.Served && string(n.Result) != "ok" {
+			t.Errorf("%s: the next came on connection %d and ended as %s (%s)", c.name, next.No, n.Outcome, n.Why)
+		}
+		if want == balance.Stale {
+			wiretest.Get(t, target.Ends, "the end of the connection")
+		}
+	}
+	// Where nothing more comes a connection is used again, behind a probe at once.
+	target, p := wiretest.NewTarget(t), newPool()
+	now := time.Now()
+	p.Now = func() time.Time { return now }
+	p.Probe(target.Addr, nil, func(News) {})
+	wiretest.Get(t, target.Calls, "a probe").Reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	back := func() {
+		t.Helper()
+		wiretest.Until(t, "the connection's return", func() bool { idle, _ := p.counts(); return idle == 1 })
+	}
+	back()
+	for _, answer := range []string{turned, line("returned"), line("done")} {
+		o, news := order(), make(chan News, 8)
+		o.Once = true
+		p.Start(o, target.Addr, func(n News) { news <- n })
+		call := wiretest.Get(t, target.Calls, "a request")
+		call.Reply(answer)
+		if n := outcome(t, news); call.No != 1 || n.Outcome == balance.Stale {
+			t.Errorf("a request on connection %d ended as %s", call.No, n.Outcome)
+		}
+		back()
+		now = now.Add(settle)
+	}
+}
+
+// What a target says again and again reaches the loop once.
+func TestStartIsToldOnce(t *testing.T) {
+	target, p, news := wiretest.NewTarget(t), newPool(), make(chan News, 1000)
+	p.Start(order(), target.Addr, func(n News) { news <- n })
+	lines := []string{done}
+	for range 500 {
+		lines = append([]string{started}, lines...)
+	}
+	wiretest.Get(t, target.Calls, "a request").Reply(wiretest.Lines(true, lines...))
+	if first, last := wiretest.Get(t, news, "the start"), wiretest.Get(t, news, "the end"); first.Outcome != "" || last.Outcome != balance.Served {
+		t.Errorf("told %+v, then %+v", first, last)
+	}
+}
+
+// The connection of a probe whose answer was not read to its end carries nothing else.
+func TestProbeLeavesNothingUnread(t *testing.T) {
+	target, p, news := wiretest.NewTarget(t), newPool(), make(chan News, 1)
+	p.Probe(target.Addr, []string{"x0"}, func(n News) { news <- n })
+	call := wiretest.Get(t, target.Calls, "a probe")
+	// The rest comes when the answer has been taken: a look at the socket before does not see it.
+	call.Reply("HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + strings.Repeat("x", maxLine))
+	wiretest.Get(t, news, "an outcome")
+	wiretest.Get(t, target.Ends, "the end of the connection")
+	if idle, _ := p.counts(); idle > 0 {
+		t.Error("the connection is in reserve")
+	}
+}
+
+// told is a connection of which the last write went out whole, and told of an error all the same.
+type told struct{ net.Conn }
+
+func (c *told) Write(b []byte) (int, error) { c.Conn.Write(b); return len(b), io.ErrClosedPipe }
+
+// Once the last byte is out the job may have run, whatever else the write tells: no second attempt of
+// the same hop follows it.
+func TestWholeWriteMayHaveRun(t *testing.T) {
+	here, there := net.Pipe()
+	go func() { there.Read(make([]byte, 4096)); there.Close() }()
+	c := &told{here}
+	end, clean := order().play(&conn{Conn: c, addr: "x", limit: io.LimitedReader{R: c}, r: bufio.NewReader(c)}, time.Now().Add(time.Minute), func(News) {})
+	if end.Outcome != balance.Broken || end.again || clean {
+		t.Errorf("got %+v, clean %v", end, clean)
+	}
+}
