Let the clients' server be shut, and say when nothing more can come

Cause: a loop that ends asks ingress.Open, and Accept may have a connection in its hand that is not among those yet; the listener was closed only behind the loop's end, over what stood in its backlog, which the kernel resets: the machine had accepted those.

Change: Server.Shut has Serve take what waits for 20 ms more and close the listener; Ended says that Serve has returned and nothing is open. A server that yields leaves the backlog to the other process. Shut may be called twice, also before Serve.

Measured: TestShutTakesTheBacklog is red where the listener is closed at once (shut_test.go:66 'reading an answer: EOF or reset'), TestShutWaitsForAccept where Ended does not wait for Serve (shut_test.go:113 'ended true, while Accept hands one over').

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -22,8 +22,9 @@
 	idleTime = 2 * time.Minute // between requests
 	sendTime = 5 * time.Second // to write an answer
 	fresh    = 250 * time.Millisecond
-	vanish   = time.Second          // for which a class that the settings no longer name is taken
-	fullWait = 5 * time.Millisecond // between looks for a seat when all are taken
+	vanish   = time.Second           // for which a class that the settings no longer name is taken
+	fullWait = 5 * time.Millisecond  // between looks for a seat when all are taken
+	lastCall = 20 * time.Millisecond // for connections that wait to be accepted when the server is shut
 )
 
 // Desk takes what the clients' side has to tell. Its calls return soon.
@@ -54,7 +55,9 @@
 	going  int           // of them, those that were evicted
 	l      net.Listener  // that Serve accepts from
 	parked chan struct{} // closed when new connections are taken again; nil: they are taken
-	taken  atomic.Int64  // requests read and not yet answered on the wire
+	serves bool          // Serve has not returned
+	shut   bool
+	taken  atomic.Int64 // requests read and not yet answered on the wire
 }
 
 // NewServer makes a server for the given classes, by name, that holds most
@@ -97,7 +100,7 @@
 func (s *Server) Hold(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if on == (s.parked != nil) {
+	if on == (s.parked != nil) || s.shut {
 		return
 	}
 	until := time.Time{}
@@ -112,6 +115,36 @@
 	}
 }
 
+// Shut has Serve return: connections that wait to be accepted are taken still, unless another
+// process takes them, and then the listener is closed. It does not wait; Ended says when that is over.
+func (s *Server) Shut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shut {
+		return
+	}
+	s.shut = true
+	l, ok := s.l.(interface{ SetDeadline(time.Time) error })
+	switch {
+	case s.parked != nil:
+		close(s.parked)
+		s.parked = nil
+	case ok:
+		l.SetDeadline(time.Now().Add(lastCall))
+		return
+	}
+	if s.l != nil {
+		s.l.Close()
+	}
+}
+
+// Ended says that the server was shut and that nothing is open, nor can be any more.
+func (s *Server) Ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shut && !s.serves && len(s.conns) == 0 && s.Taken() == 0
+}
+
 // admit waits until there is a seat for one more connection. While all of them
 // wait for an answer, the spare ones too, clients wait in the backlog.
 func (s *Server) admit() {
@@ -123,7 +156,7 @@
 func (s *Server) seat() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	full := func() bool { return len(s.conns) > s.most+s.most/16 }
+	full := func() bool { return len(s.conns) > s.most+s.most/16 && !s.shut }
 	if full() && s.going == 0 {
 		s.evict()
 	}
@@ -156,12 +189,20 @@
 func (s *Server) Serve(l net.Listener) error {
 	var said time.Time
 	s.mu.Lock()
-	s.l = l
+	s.l, s.serves = l, true
+	if s.shut {
+		l.Close()
+	}
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.serves = false
+		s.mu.Unlock()
+	}()
 	for {
 		s.admit()
 		s.mu.Lock()
-		parked := s.parked
+		parked, shut := s.parked, s.shut
 		s.mu.Unlock()
 		if parked != nil {
 			<-parked
@@ -173,6 +214,10 @@
 				return nil
 			}
 			if errors.Is(err, os.ErrDeadlineExceeded) {
+				if shut {
+					l.Close()
+					return nil
+				}
 				continue // parked
 			}
 			// Running out of descriptors is no crash: what is open goes on, and
--- /dev/null
+++ b/internal/ingress/shut_test.go
@@ -0,0 +1,169 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"example.org/bellstream/internal/wiretest"
+)
+
+// listen is a server on the loopback, and what its clients dial.
+func listen(t *testing.T, d *desk, p Phase, most int) (*Server, func() *wiretest.Client) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := NewServer(classes, d, p, most, t.Logf)
+	go s.Serve(l)
+	return s, func() *wiretest.Client {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		t.Cleanup(func() { c.Close() })
+		return &wiretest.Client{Conn: c, R: bufio.NewReader(c)}
+	}
+}
+
+// A client whose connection the machine has accepted, though the server has not, sends its request
+// and gets an answer when the server is shut; one that comes behind that is not let in.
+func TestShutTakesTheBacklog(t *testing.T) {
+	d := &desk{arrivals: make(chan *Request, 64), leaves: make(chan *Request, 64)}
+	d.ending.Store(true)
+	s, dial := listen(t, d, d, 1)
+	ask := func(id string) *wiretest.Client {
+		c := dial()
+		io.WriteString(c, job(id))
+		return c
+	}
+	one := ask("1")
+	r := wiretest.Get(t, d.arrivals, "the first")
+	two := ask("2") // all places are taken: it is refused, and keeps its seat until it has gone
+	if got, _ := two.Status(t); got != 503 {
+		t.Errorf("got %d with all places taken", got)
+	}
+	s.mu.Lock() // Accept may hand over one: it waits here, with no seat for the next
+	three, four := ask("3"), ask("4")
+	s.most = 0
+	s.mu.Unlock()
+	s.Shut()
+	s.Shut()
+	for _, c := range []*wiretest.Client{three, four} {
+		if got, _ := c.Status(t); got != 503 {
+			t.Errorf("got %d from the backlog", got)
+		}
+		c.Close()
+	}
+	two.Close()
+	if s.Ended() {
+		t.Error("ended while a request waits for its answer")
+	}
+	r.Answer(Answer{Status: 200})
+	if got, _ := one.Status(t); got != 200 {
+		t.Errorf("got %d", got)
+	}
+	one.Close()
+	wiretest.Until(t, "the server's end", s.Ended)
+	if c, err := net.Dial("tcp", s.l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("a client came in behind the end")
+	}
+}
+
+// handing is a listener whose Accept has a connection and rests before it returns.
+type handing struct {
+	net.Listener
+	has, goes chan struct{}
+}
+
+func (l *handing) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		close(l.has)
+		<-l.goes
+	}
+	return c, err
+}
+
+// While Accept has a connection that it has not handed over nothing is open, and the server has not
+// ended: that one is served.
+func TestShutWaitsForAccept(t *testing.T) {
+	in := wiretest.NewListener()
+	l := &handing{in, make(chan struct{}), make(chan struct{})}
+	d := &desk{arrivals: make(chan *Request, 1), leaves: make(chan *Request, 1)}
+	s := NewServer(classes, d, d, 8, t.Logf)
+	go s.Serve(l)
+	c := in.Dial()
+	<-l.has
+	s.Shut()
+	if s.Open() != 0 || s.Ended() {
+		t.Fatalf("%d open, ended %v, while Accept hands one over", s.Open(), s.Ended())
+	}
+	close(l.goes)
+	io.WriteString(c, job("1"))
+	wiretest.Get(t, d.arrivals, "its request").Answer(Answer{Status: 503})
+	if got, _ := c.Status(t); got != 503 {
+		t.Errorf("got %d", got)
+	}
+	c.Close()
+	wiretest.Until(t, "the end", s.Ended)
+}
+
+// A server that yields is shut at once: the clients that wait are the other process's.
+func TestShutWhileItYields(t *testing.T) {
+	d := &desk{}
+	s, dial := listen(t, d, d, 8)
+	wiretest.Until(t, "Serve", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.serves })
+	s.Hold(true)
+	c := dial() // one may be taken, by an Accept that was under way
+	defer c.Close()
+	s.Shut()
+	s.Hold(false)
+	s.Hold(true)
+	c.Close()
+	wiretest.Until(t, "the end", s.Ended)
+}
+
+// turning is a phase that changes right behind the look at it.
+type turning struct {
+	*desk
+	looks atomic.Int32
+}
+
+func (p *turning) Ending() bool { return p.looks.Add(1) > 1 }
+
+// The phase moves on between the look at it and the answer's write: the answer keeps the connection
+// open, and the next one closes it.
+func TestEndingBehindTheLook(t *testing.T) {
+	d := &desk{arrivals: make(chan *Request, 1), leaves: make(chan *Request, 1)}
+	s, dial := listen(t, d, &turning{desk: d}, 8)
+	c := dial()
+	for n, closes := range []bool{false, true} {
+		io.WriteString(c, job(fmt.Sprint(n)))
+		wiretest.Get(t, d.arrivals, "a request").Answer(Answer{Status: 200})
+		if n == 0 {
+			if got, _ := c.Status(t); got != 200 {
+				t.Fatalf("got %d", got)
+			}
+			// Idle now, so that the looks of the drain find it; one that is used is none of theirs.
+			wiretest.Until(t, "the connection to be idle", func() bool { return s.count(idle) == 1 })
+		} else if got, _ := c.Status(t); got != 200 {
+			t.Fatalf("got %d", got)
+		}
+		if closes {
+			c.Ended(t)
+		}
+	}
+	rest := dial()
+	wiretest.Until(t, "the other connection", func() bool { return s.count(idle) == 1 })
+	s.CloseIdle(0)
+	rest.Ended(t)
+}
--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -49,11 +50,12 @@
 type Listener struct {
 	conns chan net.Conn
 	done  chan struct{}
+	once  sync.Once
 }
 
 // NewListener returns an open listener.
 func NewListener() *Listener {
-	return &Listener{make(chan net.Conn), make(chan struct{})}
+	return &Listener{conns: make(chan net.Conn), done: make(chan struct{})}
 }
 
 // Accept returns the server's end of the next Dial.
@@ -67,7 +69,10 @@
 }
 
 // Close ends Accept.
-func (l *Listener) Close() error { close(l.done); return nil }
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
 
 // Addr is not used.
 func (l *Listener) Addr() net.Addr { return &net.TCPAddr{} }
