Answer all that a stop finds or that crosses its end, counted from the signal

Change: the stop carries its time; closing begins by that time or when nothing is open, shuts the listener, and the loop ends only behind the step that told the module, when the server has ended or 0.1 s later. Then it takes in what was posted, fails what a decider left open, with its id in the log, and closes the queue; whoever posts a request behind that finds the queue closed and refuses it. It waits for answers that are being written for 0.05 s at most: 3.6 s in all where SIGKILL comes at 3.7.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -28,20 +28,22 @@
 
 // Figures of the host, none of them a decision about jobs. Times are in seconds.
 const (
-	tick      = 0.004 // of the wheel at most
-	queue     = 1024  // posts waiting for the loop
-	sweep     = 0.5   // between looks at idle connections
-	askAgain  = 1.0   // at most after a watch ended that the module did not ask for and that told nothing
-	askSoon   = 0.5   // the same of one that told: what a silent one misses binds 6 s after its last byte, and it ends after 5
-	drainLook = 0.05  // between looks at what is left while draining
-	drainMost = 3.0   // the longest deadline that a stop heeds: SIGKILL comes 0.7 s after it
-	drainPast = 0.45  // of those that jobs get as well
-	drainIdle = 1.0   // from a stop to the end at least: connections keep coming for 0.4 s
-	retire    = 0.6   // part of a stop in which clients keep their connections
-	flush     = 0.1   // for the last answers to be written
-	giveUp    = 0.06  // before its deadline a waiting job goes to the module, which answers it then
-	waitBatch = 128   // jobs that cease to wait in one turn: more would hold up the rest
-	overhead  = 1024  // bytes that a held request takes beside its body
+	tick      = 0.004                 // of the wheel at most
+	queue     = 1024                  // posts waiting for the loop
+	sweep     = 0.5                   // between looks at idle connections
+	askAgain  = 1.0                   // at most after a watch ended that the module did not ask for and that told nothing
+	askSoon   = 0.5                   // the same of one that told: what a silent one misses binds 6 s after its last byte, and it ends after 5
+	drainLook = 0.05                  // between looks at what is left while draining
+	drainMost = 3.0                   // the longest deadline that a stop heeds: SIGKILL comes 0.7 s after it
+	drainPast = 0.45                  // of those that jobs get as well
+	drainIdle = 1.0                   // from a stop to the end at least: connections keep coming for 0.4 s
+	retire    = 0.6                   // part of a stop in which clients keep their connections
+	flush     = 0.1                   // for the last answers to be written
+	closeLook = 0.005                 // between looks whether they are
+	closeIdle = 50 * time.Millisecond // for which a connection may stay idle then
+	giveUp    = 0.06                  // before its deadline a waiting job goes to the module, which answers it then
+	waitBatch = 128                   // jobs that cease to wait in one turn: more would hold up the rest
+	overhead  = 1024                  // bytes that a held request takes beside its body
 )
 
 // Egress is what the loop needs of the zone workers' side.
@@ -57,6 +59,8 @@
 	Taken() int
 	Open() int
 	CloseIdle(fresh time.Duration)
+	Shut()       // no new connections from here on, but for those that wait already
+	Ended() bool // after Shut: nothing is open, and nothing more can come
 }
 
 // Counter is told of what each tenant asks for and gets, where instances
@@ -126,6 +130,9 @@
 	spread  *rand.Rand      // of calls: watches of many dispatchers end together
 	ended   float64         // when the stop came
 	retired float64         // until when clients keep their connections after it
+	until   float64         // when what is left is answered by the module's rule
+	closing float64         // when that began
+	closed  uint64          // the last step before it
 	paused  float64         // since when operators have it empty; 0: they don't
 	yields  bool            // to a newer process
 	noteIDs *func([]string) // idsTo as the loop follows it
@@ -191,7 +198,7 @@
 	reading  struct{ to chan Figures }
 	seen     struct{ ids []string }
 	retuned  struct{ to *settings.Settings }
-	stop     struct{}
+	stop     struct{ at float64 }
 	redirect struct{ discovery string }
 	wake     struct{} // a timer of the module
 	deadline struct{ h *held }
@@ -263,14 +270,47 @@
 	}
 }
 
-// Arrive takes a request; it is owed one answer.
-func (d *Dispatcher) Arrive(r *ingress.Request) { d.post(arrived{r}) }
+// Arrive takes a request; it is owed one answer. One that comes behind the loop's end is refused
+// here: it was never sent on.
+func (d *Dispatcher) Arrive(r *ingress.Request) {
+	select {
+	case d.posts <- arrived{r}:
+	case <-d.done:
+		d.refuse(r)
+		return
+	}
+	select {
+	case <-d.done: // the queue may have had room behind the loop's last look
+		d.turnAway()
+	default:
+	}
+}
+
+// turnAway refuses the requests that nobody takes from the queue any more. All that closed the
+// queue, or filled it after that, call it, so that none is left whichever comes last.
+func (d *Dispatcher) turnAway() {
+	for {
+		select {
+		case p := <-d.posts:
+			if a, ok := p.(arrived); ok {
+				d.refuse(a.req)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) refuse(r *ingress.Request) {
+	r.Answer(ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter})
+}
 
 // Leave tells that a request's client has left.
 func (d *Dispatcher) Leave(r *ingress.Request) { d.post(left{r}) }
 
-// Stop begins draining.
-func (d *Dispatcher) Stop() { d.post(stop{}) }
+// Stop begins draining. The time for it runs from the call, however late the loop hears of it:
+// SIGKILL does not wait for the loop.
+func (d *Dispatcher) Stop() { d.post(stop{d.clock()}) }
 
 // Wake has the decider take a step soon, though nothing has happened here.
 func (d *Dispatcher) Wake() { d.post(wake{}) }
@@ -285,7 +325,6 @@
 // Run plays the loop until the dispatcher has drained after Stop.
 func (d *Dispatcher) Run(in Ingress) {
 	d.ingress = in
-	defer close(d.done)
 	defer func() { d.watch() }()
 	d.wheel.Set(d.clock()+sweep, sweeping{})
 	if !d.asked() {
@@ -296,6 +335,7 @@
 		now := d.clock()
 		d.turn(now)
 		if d.finished(now) {
+			d.finish(now)
 			return
 		}
 		timer.Reset(time.Duration((d.next() - d.clock()) * float64(time.Second)))
@@ -446,7 +486,7 @@
 		}
 	case stop:
 		if d.Phases.Enter(Retiring) {
-			d.ended = d.clock()
+			d.ended, d.until = p.at, p.at+d.most
 			// Clients whose connections end now may have nowhere to go: in a rolling
 			// restart the others may not be back yet. So that comes some time later.
 			if d.retired = d.ended; d.paused == 0 && !d.yields {
@@ -462,7 +502,7 @@
 // turned away, so that the first is not disturbed and does not run again.
 func (d *Dispatcher) arrive(r *ingress.Request) {
 	if d.refuses() {
-		r.Answer(ingress.Answer{Status: http.StatusServiceUnavailable, RetryAfter: d.Settings.Caps.MaxRetryAfter})
+		d.refuse(r)
 		return
 	}
 	if d.held[r.ID] != nil || !d.recent.add(r.ID, d.clock()) {
@@ -698,27 +738,53 @@
 	if p.Now() < Retiring {
 		return false
 	}
-	owed := 0
-	for _, h := range d.held {
-		if !h.answered {
-			owed++
+	owed := d.owed()
+	quiet := len(owed) == 0 && d.ingress.Taken() == 0 && d.ingress.Open() == 0 && now-d.ended > drainIdle
+	if (quiet || now > d.until) && p.Enter(Closing) {
+		d.closing, d.closed = now, d.steps
+		if len(owed) > 0 {
+			d.Log("closing: %d requests get no answer from a target", len(owed))
 		}
-	}
-	if owed == 0 && d.ingress.Taken() == 0 && now-d.ended > drainIdle && d.ingress.Open() == 0 {
-		p.Enter(Stopped)
-		return true
-	}
-	if now-d.ended > d.most && p.Enter(Closing) {
-		d.Log("closing: %d requests get no answer from a target", owed)
 		if d.Waiting != nil { // what still waits is the module's to answer
 			d.Waiting.Flush(now)
 			d.unwait(now, math.MaxInt)
 		}
 		d.events = append(d.events, balance.Closing{})
+		// Accept may be handing over a connection while none is open.
+		d.ingress.Shut()
+	}
+	if p.Now() != Closing || d.steps == d.closed { // a loop that was held up has not answered them yet
+		return false
 	}
-	if now-d.ended > d.most+flush {
+	d.ingress.CloseIdle(closeIdle)
+	if len(owed) == 0 && d.ingress.Ended() || now-d.closing > flush {
 		p.Enter(Stopped)
 		return true
 	}
+	d.lookAt(now + closeLook)
 	return false
 }
+
+// owed are the requests that have no answer yet.
+func (d *Dispatcher) owed() (list []*held) {
+	for _, h := range d.held {
+		if !h.answered {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// finish takes in what came while the loop ended, and sees that nobody waits for it behind that.
+func (d *Dispatcher) finish(now float64) {
+	d.drain()
+	for _, h := range d.owed() { // a guard: the module has answered all
+		d.Log("request %s: no decision before the end", h.req.ID)
+		d.answer(h, ingress.Answer{Status: http.StatusBadGateway})
+	}
+	close(d.done)
+	d.turnAway()
+	for d.ingress.Taken() > 0 && d.clock()-now < flush/2 {
+		time.Sleep(time.Millisecond) // the program ends, and what is being written with it
+	}
+}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -41,6 +41,8 @@
 	ran     float64       // hops that were started and not proved unrun
 	counted counterModel
 	closed  int // looks at idle connections
+	open    int // connections
+	shut    int // how often the listener was
 	forgot  []string
 	orders  []*egress.Order
 }
@@ -124,8 +126,10 @@
 func (r *rig) Forget(addr string)      { r.forgot = append(r.forgot, addr) }
 func (r *rig) Sweep()                  {}
 func (r *rig) Taken() int              { return 0 }
-func (r *rig) Open() int               { return 0 }
+func (r *rig) Open() int               { return r.open }
 func (r *rig) CloseIdle(time.Duration) { r.closed++ }
+func (r *rig) Shut()                   { r.shut++ }
+func (r *rig) Ended() bool             { return r.shut > 0 && r.open == 0 }
 
 func newRig(t *testing.T) *rig { return newRigOf(t, options, 1) }
 
@@ -272,7 +276,7 @@
 				}
 			case 13:
 				if arg == 15 {
-					r.take(stop{})
+					r.take(stop{r.clock()})
 				}
 			case 14:
 				r.take(redirect{fmt.Sprint("address ", arg)})
@@ -319,7 +323,7 @@
 	if a.out == nil {
 		t.Fatal("not sent")
 	}
-	r.take(stop{})
+	r.take(stop{r.clock()})
 	r.pass(1900 * time.Millisecond)
 	// The others may not be back yet: clients stay, though no new ones are wanted.
 	if r.Phases.Now() != Retiring || r.Phases.Ready() || r.Phases.Ending() {
@@ -406,7 +410,7 @@
 		t.Errorf("asked again at %q, and %d times more", w.at, len(r.watches))
 	}
 	a := r.arrive("a", "safe", 100*time.Second)
-	r.take(stop{})
+	r.take(stop{r.clock()})
 	r.take(redirect{"newer"})
 	r.pass(0)
 	if w = wiretest.Get(t, r.watches, "a watch while draining"); w.at != "newer" || len(a.answers) > 0 || r.table.Len() != 2 {
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -186,8 +186,10 @@
 	if d.Phases.Enter(Draining) {
 		d.Log("draining: %d requests held", len(d.held))
 	}
-	d.ingress.CloseIdle(fresh)
-	d.lookAt(now + drainLook)
+	if d.Phases.Now() < Closing { // else each turn looks
+		d.ingress.CloseIdle(fresh)
+		d.lookAt(now + drainLook)
+	}
 }
 
 // refuses says that nothing new is taken any more.
--- a/internal/dispatcher/operate_test.go
+++ b/internal/dispatcher/operate_test.go
@@ -135,7 +135,7 @@
 	}
 	r.pause(true)
 	r.pass(8 * time.Millisecond)
-	r.take(stop{})
+	r.take(stop{r.clock()})
 	r.pass(60 * time.Millisecond)
 	if r.Phases.Now() != Draining || r.closed == 0 {
 		t.Errorf("phase %v, %d looks at idle connections after a stop in a pause", r.Phases.Now(), r.closed)
@@ -249,7 +249,7 @@
 	// Told to stop while it yields, it still says yes for the dispatcher, and goes at once.
 	r.Adopt(none, false)
 	r.pass(8 * time.Millisecond)
-	r.take(stop{})
+	r.take(stop{r.clock()})
 	r.pass(60 * time.Millisecond)
 	if r.Phases.Now() != Draining || !r.Phases.Ready() || r.closed == closed {
 		t.Errorf("phase %v, ready %v, %d looks after a stop", r.Phases.Now(), r.Phases.Ready(), r.closed-closed)
--- a/internal/dispatcher/waitcases_test.go
+++ b/internal/dispatcher/waitcases_test.go
@@ -81,7 +81,7 @@
 	c, d := r.arrive("c", "unsafe", time.Hour, "p"), r.arrive("d", "unsafe", time.Hour, "c")
 	r.hold = time.Minute
 	timed := r.arrive("timed", "unsafe", time.Hour)
-	r.take(stop{})
+	r.take(stop{r.clock()})
 	r.pass(3600 * time.Millisecond)
 	r.status(c, 503)
 	r.status(d, 503)
