--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -26,6 +26,7 @@
 	fullWait  = 5 * time.Millisecond   // between looks for a seat when all are taken
 	partTime  = 200 * time.Millisecond // for a client to end its side of a connection that ends
 	partLeast = 20 * time.Millisecond  // the same, where its descriptor is wanted
+	lastCall  = 20 * time.Millisecond  // for connections that wait to be accepted when the server is shut
 )
 
 // Desk takes what the clients' side has to tell. Its calls return soon.
@@ -57,7 +58,9 @@
 	going  int           // of them, those that are to end or are ending
 	l      net.Listener  // that Serve accepts from
 	parked chan struct{} // closed when new connections are taken again; nil: they are taken
-	taken  atomic.Int64  // requests read and not yet answered on the wire
+	serves bool          // Serve has not returned
+	shut   bool
+	taken  atomic.Int64 // requests read and not yet answered on the wire
 }
 
 // NewServer makes a server for the given classes, by name, that holds most
@@ -103,7 +106,7 @@
 func (s *Server) Hold(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if on == (s.parked != nil) {
+	if on == (s.parked != nil) || s.shut {
 		return
 	}
 	until := time.Time{}
@@ -118,6 +121,36 @@
 	}
 }
 
+// Shut has Serve return: connections that wait to be accepted are taken still, unless another
+// process takes them, and then the listener is closed. It does not wait; Ended says when that is over.
+func (s *Server) Shut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shut {
+		return
+	}
+	s.shut = true
+	l, ok := s.l.(interface{ SetDeadline(time.Time) error })
+	switch {
+	case s.parked != nil:
+		close(s.parked)
+		s.parked = nil
+	case ok:
+		l.SetDeadline(time.Now().Add(lastCall))
+		return
+	}
+	if s.l != nil {
+		s.l.Close()
+	}
+}
+
+// Ended says that the server was shut and that nothing is open, nor can be any more.
+func (s *Server) Ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shut && !s.serves && len(s.conns) == 0 && s.Taken() == 0
+}
+
 // admit waits until there is a seat for one more connection. While all of them
 // wait for an answer, the spare ones too, clients wait in the backlog.
 func (s *Server) admit() {
@@ -129,7 +162,7 @@
 func (s *Server) seat() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	full := func() bool { return len(s.conns) > s.most+s.most/16 }
+	full := func() bool { return len(s.conns) > s.most+s.most/16 && !s.shut }
 	if full() {
 		s.makeRoom()
 	}
@@ -165,12 +198,20 @@
 func (s *Server) Serve(l net.Listener) error {
 	var said time.Time
 	s.mu.Lock()
-	s.l = l
+	s.l, s.serves = l, true
+	if s.shut {
+		l.Close()
+	}
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.serves = false
+		s.mu.Unlock()
+	}()
 	for {
 		s.admit()
 		s.mu.Lock()
-		parked := s.parked
+		parked, shut := s.parked, s.shut
 		s.mu.Unlock()
 		if parked != nil {
 			<-parked
@@ -182,6 +223,10 @@
 				return nil
 			}
 			if errors.Is(err, os.ErrDeadlineExceeded) {
+				if shut {
+					l.Close()
+					return nil
+				}
 				continue // parked
 			}
 			// Running out of descriptors is no crash: what is open goes on, and
