Give up a stalled watch or call in time for another one within 6 s

A change binds 6 s after discovery had it and could be reached. Seen by reading, then forced in virtual time: a silent watch was given up after 5 s and a call after 4.5 s, which together pass 6 s (watch.go, silence and firstAnswer). Each byte moved the deadline on (heard.Read), also inside an update, so that half an update and blanks, an endless name or endless hosts kept a watch open for ever; so did a head and blanks with no list. A dial on a cut link took all of a call's time. And a program that was itself held up past the deadline dropped a live watch, with what discovery had written unread.

Now silence is 2.6 s, a call 3.0 s from its dial to the end of its first list (as long as discovery makes a caller wait; sooner given up it would be made twice), its dial 1.25 s. An update that has begun has the time that was left then, and the first must be whole within the call. When the time is over the connection is looked at once more, for 0.1 s, before it counts as silent.

--- a/internal/route/watch.go
+++ b/internal/route/watch.go
@@ -11,32 +11,46 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
-// Times of a watch. Discovery writes an empty line every 2 s while nothing
-// changes, so two missed ones mean that it is gone. The first answer has to
-// come before the decisions would ask once more.
+// Times of a watch. A change binds 6 s after discovery had it and could be reached, so what a watch
+// misses has to be here by then: the silence is noticed, the next call waits (0.15 s at most, balance.AskAgain),
+// and may last as long as discovery lets a caller wait its turn, 3 s. docs/architecture.md adds that up.
 const (
-	firstAnswer = 4500 * time.Millisecond
-	maxHead     = 32 << 10
-	maxLine     = 4 << 20 // of one update
+	dialMost = 1250 * time.Millisecond // a machine that is there takes a call at once, or when the system's second try comes after 1 s
+	callMost = 3000 * time.Millisecond // from the dial to the end of the first list. One given up sooner would be made twice
+	look     = 100 * time.Millisecond  // for what has come while this program was held up itself
+	maxHead  = 32 << 10
+	maxLine  = 4 << 20 // of one update
 )
 
-var silence = 5 * time.Second // shorter in a test
+// silence is how long a watch may say nothing, or an update may take. Discovery writes an empty line
+// every 2 s while nothing changes. Shorter in a test.
+var silence = 2600 * time.Millisecond
 
 // Watch asks discovery for all changes after seq and calls each with every
 // update, in order, until the watch ends or ctx does. It always returns the
 // reason. Silence counts as an end: a cut link says nothing.
 func Watch(ctx context.Context, discovery string, seq int64, each func(*Update)) error {
-	d := net.Dialer{Timeout: firstAnswer, KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", discovery)
+	return WatchOver(ctx, (&net.Dialer{KeepAlive: -1}).DialContext, discovery, seq, each)
+}
+
+// WatchOver is Watch over connections that dial makes.
+func WatchOver(ctx context.Context, dial func(ctx context.Context, network, addr string) (net.Conn, error),
+	discovery string, seq int64, each func(*Update)) error {
+	asked := time.Now()
+	dialling, cancel := context.WithTimeout(ctx, dialMost)
+	defer cancel()
+	made, err := dial(dialling, "tcp", discovery)
 	if err != nil {
 		return err
 	}
+	conn := &link{Conn: made}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(firstAnswer))
+	conn.SetDeadline(asked.Add(callMost))
 	if _, err := fmt.Fprintf(conn, "GET /v1/servers?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", seq, discovery); err != nil {
 		return err
 	}
@@ -50,7 +64,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	heard := &heard{body: resp.Body, conn: conn}
+	heard := &heard{body: resp.Body, link: conn}
 	for values := json.NewDecoder(heard); ; {
 		var raw json.RawMessage
 		if err := values.Decode(&raw); errors.Is(err, io.EOF) {
@@ -60,29 +74,57 @@
 		}
 		rest, _ := io.ReadAll(values.Buffered())
 		heard.owed = len(bytes.TrimSpace(rest))
+		heard.told = true
 		u, err := Parse(raw)
 		if err != nil {
 			return err
 		}
 		each(u)
+		conn.expect(silence)
 	}
 	return errors.New("discovery ended the watch")
 }
 
+// link is a connection to discovery.
+type link struct {
+	net.Conn
+	looked bool
+}
+
+// expect has the next bytes come within so long.
+func (l *link) expect(within time.Duration) {
+	l.looked = false
+	l.SetReadDeadline(time.Now().Add(within))
+}
+
+// Read looks once more when the time is over: a program that was held up itself finds
+// there what discovery wrote meanwhile.
+func (l *link) Read(p []byte) (n int, err error) {
+	n, err = l.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !l.looked {
+		l.looked = true
+		l.SetReadDeadline(time.Now().Add(look))
+		n, err = l.Conn.Read(p)
+	}
+	return n, err
+}
+
 // heard reads a watch's body. Each byte shows that discovery is there, a blank line
-// between two updates too. Not lines make an update but its braces: a list may be
+// between two updates too, but not that an update under way ever ends: it has the time
+// that was left when it began. Not lines make an update but its braces: a list may be
 // indented, over as many lines as it likes.
 type heard struct {
 	body io.Reader
-	conn net.Conn
-	owed int // bytes of an update that has not ended
+	link *link
+	told bool // the first update is here
+	owed int  // bytes of an update that has not ended
 }
 
 func (h *heard) Read(p []byte) (n int, err error) {
 	for err == nil {
 		n, err = h.body.Read(p)
-		if n > 0 {
-			h.conn.SetReadDeadline(time.Now().Add(silence))
+		if n > 0 && h.told && h.owed == 0 {
+			h.link.expect(silence)
 		}
 		if h.owed > 0 || len(bytes.TrimSpace(p[:n])) > 0 { // blanks between updates are not kept
 			h.owed += n
