--- a/balance/queue.go
+++ b/balance/queue.go
@@ -105,9 +105,9 @@
 	g.number()
 }
 
-// spread moves a job on to a place, where only gaps follow up to there.
-func (g *group) spread(j *job, to int) {
-	for len(g.jobs) <= to {
+// spread moves a job on to a place, of so many, where only gaps follow up to there.
+func (g *group) spread(j *job, to, of int) {
+	for len(g.jobs) < of {
 		g.jobs = append(g.jobs, nil)
 	}
 	if last := g.last(to); last == j {
--- a/balance/yield.go
+++ b/balance/yield.go
@@ -51,7 +51,7 @@
 	Left             float64 // until its client gives up
 	Queued           bool    // it waits for a hop
 	Order            uint64  // in its tenant's queue, among those that came at once
-	At               int     // its place among those like it, gaps counted: a search in a long queue goes by these
+	At, Of           int     // its place among those like it, gaps counted: a search in a long queue goes by these
 	Failed           int     // attempts that ended with an error
 	MayRan           bool    // an ended attempt may have run
 	Closed           bool    // it is answered, and an attempt is out
@@ -102,7 +102,10 @@
 			continue
 		}
 		k := JobState{ID: j.id, Class: j.class.Name, Slots: j.slots, Memory: j.mem, Age: b.now - j.arrived, Born: b.now - j.born,
-			Since: b.now - j.since, Left: j.deadline - b.now, Queued: j.in != nil, Order: j.seq, At: j.at, Failed: j.failed, MayRan: j.mayRan, Closed: j.closed}
+			Since: b.now - j.since, Left: j.deadline - b.now, Queued: j.in != nil, Order: j.seq, Failed: j.failed, MayRan: j.mayRan, Closed: j.closed}
+		if k.Queued {
+			k.At, k.Of = j.at, len(j.group.jobs)
+		}
 		if f := j.firstRan; f != nil {
 			k.FirstRan, k.FirstAge = b.told(f), b.now-j.firstAt
 		}
@@ -178,7 +181,7 @@
 	}
 	for _, k := range slices.Backward(s.Jobs) {
 		if j := b.jobs[k.ID]; k.Queued && j.tenant == t && j.in != nil {
-			j.group.spread(j, k.At)
+			j.group.spread(j, k.At, k.Of)
 		}
 	}
 	sent := func(x, y *attempt) int { return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(x.number, y.number)) }
