--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -122,9 +122,7 @@
 		c.age, c.young = max(1, now.Sub(c.since)), now.Before(c.sure)
 		return c, nil
 	}
-	if p.open >= p.Max && len(p.idle) > 0 {
-		p.drop(0)
-	}
+	p.trim(p.Max - 1)
 	if p.open >= p.Max {
 		return nil, errCrowded
 	}
@@ -132,11 +130,20 @@
 	return nil, nil
 }
 
-// Resize changes how many connections there may be. Those that are open stay.
+// Resize changes how many connections there may be. Idle ones that are too many are
+// closed at once, busy ones when they come back.
 func (p *Pool) Resize(most int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Max = most
+	p.trim(most)
+}
+
+// trim closes idle connections, the longest idle first, while more than most are open. It wants mu.
+func (p *Pool) trim(most int) {
+	for p.open > most && len(p.idle) > 0 {
+		p.drop(0)
+	}
 }
 
 // Retune changes the times of dialling and of keeping idle connections, for
@@ -170,6 +177,7 @@
 	}
 	p.mu.Lock()
 	p.idle = append(p.idle, c)
+	p.trim(p.Max)
 	p.mu.Unlock()
 }
 
--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -4,11 +4,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -50,11 +53,12 @@
 type Listener struct {
 	conns chan net.Conn
 	done  chan struct{}
+	once  sync.Once
 }
 
 // NewListener returns an open listener.
 func NewListener() *Listener {
-	return &Listener{make(chan net.Conn), make(chan struct{})}
+	return &Listener{conns: make(chan net.Conn), done: make(chan struct{})}
 }
 
 // Accept returns the server's end of the next Dial.
@@ -68,7 +72,10 @@
 }
 
 // Close ends Accept.
-func (l *Listener) Close() error { close(l.done); return nil }
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
 
 // Addr is not used.
 func (l *Listener) Addr() net.Addr { return &net.TCPAddr{} }
@@ -106,6 +113,8 @@
 	t.Helper()
 	if b, err := c.R.ReadByte(); err == nil {
 		t.Fatalf("got byte %q, want the connection's end", b)
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal("waited too long for the connection's end")
 	}
 }
 
@@ -175,6 +184,18 @@
 	return b.String()
 }
 
+// DialTCP opens a client's connection over the loopback, closed when the test is over.
+func DialTCP(t *testing.T, addr net.Addr) *Client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &Client{c, bufio.NewReader(c)}
+}
+
 // Stalled is the address of a server at which connections come up only when it has accepted
 // those before, which it does not do until the test is over.
 func Stalled(t *testing.T) string {
