--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -224,6 +225,65 @@
 			t.Errorf("%d connections, want 2 and one that ends", open)
 		}
 	}
+	s.CloseIdle(0)
+	wiretest.Until(t, "the end of all connections", func() bool { return s.Open() == 0 })
+}
+
+// A client may send on, much or slowly, though its request was turned away, and
+// look at its answer only once it can send no more.
+func TestTurnedAwayThoughItSendsOn(t *testing.T) {
+	for _, way := range []struct {
+		raw  string
+		more string
+		want int
+	}{
+		{"nonsense\r\n\r\n", "x", 400},
+		{"POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: 100000000\r\n\r\n", strings.Repeat("x", maxBody), 413},
+	} {
+		s, _, addr := listen(t, 8)
+		c := wiretest.DialTCP(t, addr)
+		io.WriteString(c, way.raw)
+		for {
+			if _, err := io.WriteString(c, way.more); err != nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if got, _ := c.Status(t); got != way.want {
+			t.Errorf("got %d, want %d", got, way.want)
+		}
+		wiretest.Until(t, "the connection's end", func() bool { return s.Open() == 0 })
+	}
+}
+
+// writes counts what is written apart.
+type writes struct{ n int }
+
+func (w *writes) Write(b []byte) (int, error) { w.n++; return len(b), nil }
+
+// Nothing of an answer may be held back by the system and go with a connection
+// that is reset: it is one write, which leaves at once.
+func TestAnswerLeavesAtOnce(t *testing.T) {
+	var w writes
+	if write(&w, Answer{Status: 200, Body: make([]byte, maxBody)}, true, false); w.n != 1 {
+		t.Errorf("%d writes", w.n)
+	}
+	s, d, addr := listen(t, 8)
+	io.WriteString(wiretest.DialTCP(t, addr), job("1"))
+	wiretest.Get(t, d.arrivals, "an arrival")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Control(func(fd uintptr) {
+			if on, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); on == 0 || err != nil {
+				t.Errorf("TCP_NODELAY is %d (%v)", on, err)
+			}
+		})
+	}
 }
 
 // stepped is a listener whose connections call the test between two lines.
