--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -15,8 +15,8 @@
 	"example.org/bellstream/internal/wiretest"
 )
 
-// listen is start over the loopback.
-func listen(t *testing.T, most int) (*Server, *desk, net.Addr) {
+// listen is start over the loopback, for a server that is prepared by the test.
+func listen(t *testing.T, most int, prepare ...func(*Server)) (*Server, *desk, net.Addr) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -25,11 +25,17 @@
 	d := &desk{arrivals: make(chan *Request, 64), leaves: make(chan *Request, 64)}
 	s := NewServer(classes, d, d, most, t.Logf)
 	s.slowest = time.Hour // a test on a busy machine is no slow client
+	for _, f := range prepare {
+		f(s)
+	}
 	go s.Serve(l)
 	t.Cleanup(func() { l.Close() })
 	return s, d, l.Addr()
 }
 
+// hasty has a new connection make room at once.
+func hasty(s *Server) { s.fresh = 0 }
+
 // A client that has sent on behind its request and goes has left all the same,
 // however much it sent, whenever that came, and whichever way it goes. Nothing
 // of what stands behind is taken.
@@ -180,8 +186,7 @@
 		}, []int{200, 400}},
 	} {
 		t.Run(way.name, func(t *testing.T) {
-			s, d, addr := listen(t, 16) // and one that is turned away
-			s.fresh = 0
+			s, d, addr := listen(t, 16, hasty) // and one that is turned away
 			for range 15 {
 				io.WriteString(wiretest.DialTCP(t, addr), job("held"))
 				wiretest.Get(t, d.arrivals, "an arrival")
@@ -213,8 +218,7 @@
 // Clients that rest, and don't mind that their connections are ended, hold no
 // descriptors for long: each of many new ones gets a seat.
 func TestClientsThatStayAreCut(t *testing.T) {
-	s, d, addr := listen(t, 2)
-	s.fresh = 0
+	s, d, addr := listen(t, 2, hasty)
 	for range 20 {
 		c := wiretest.DialTCP(t, addr) // stays to the test's end
 		io.WriteString(c, job("1"))
@@ -438,8 +442,7 @@
 // The desk may be busy when a request comes: that its client has gone, right
 // behind its last byte or later, stands on the request all the same.
 func TestLeavesWhileTheDeskIsBusy(t *testing.T) {
-	s, d, addr := listen(t, 8)
-	s.desk = busy{d}
+	_, d, addr := listen(t, 8, func(s *Server) { s.desk = busy{s.desk.(*desk)} })
 	c := wiretest.DialTCP(t, addr)
 	io.WriteString(c, job("1"))
 	c.Close()
