Ask the roster again within 2.8 s of a call that failed, at once after one that lasted

A change binds 6 s after discovery had it and could be reached, whatever call failed before. The module's wait after a failure grew to AskEvery/3 x 1.5 (news: 5 s where 10 are allowed between calls, up to 48 s where more are), and a start on an old list waited up to half of AskEvery, to which the call itself, 3.1 s, comes on top.

AskAgain, for whoever keeps the watch: 1.8 to 2.8 s after a call that failed at once, less twice the time that it lasted, 0 to 0.15 s at least. So a refused connection is tried some 0.43 times a second by each dispatcher, a caller that waited its turn in vain asks again soon (refused after up to 1.5 s, it has another whole call in its 6 s), a watch that broke at once after its start doesn't make a storm, and one that fell silent is asked for anew at once. A start asks within 2.8 s. While a call is out it is not made again (the module asked anew after AskEvery/2, 0.5 s where that is 1).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,6 +43,8 @@
 	coldTurn    = 30.0  // how much a cold worker is preferred by who has its turn: no other sends there
 	memory      = 8.0   // how far back own sends are remembered
 	learn       = 0.1   // weight of one more observation in running means
+	askSoon     = 0.15  // longest wait until the roster is asked again, if the last call was long ago
+	askPause    = 2.8   // the same if that failed at once
 	busyWake    = 0.05  // time between looks at the queue while jobs wait
 	idleWake    = 0.25  // the same while none does
 	restBase    = 1.0   // first rest of a worker that failed a job; doubles up to 8 times
@@ -925,14 +927,13 @@
 func (b *Balancer) news(e RosterUpdate) {
 	r := &b.roster
 	if e.Kind == RosterFailed {
-		r.subscribed = false
-		r.next = b.now + min(b.cfg.AskEvery/3, 0.5*math.Exp2(float64(min(r.fails, 6))))*(0.5+b.rng.Float64())
-		r.fails++
+		r.subscribed, r.fails = false, r.fails+1
+		r.next = b.now + AskAgain(b.now-r.asked, b.rng.Float64())
 		b.logf("roster call failed (%d in a row): asking again in %.1f s", r.fails, r.next-b.now)
 		return
 	}
 	if r.subscribed, r.fails = true, 0; e.Kind == RosterSaved { // not all ask in the same second
-		r.subscribed, r.next = false, b.now+b.rng.Float64()*b.blind()*b.cfg.AskEvery/2
+		r.subscribed, r.next = false, b.now+b.rng.Float64()*min(b.blind()*b.cfg.AskEvery/2, askPause)
 	}
 	r.lists++
 	for _, i := range e.Workers {
@@ -972,12 +973,11 @@
 		i.Started = max(i.Started, w.Started) // an old list may come again
 		w.WorkerInfo, w.goneAt = i, 0
 	}
-	w.listed = b.roster.lists
 	b.cool(w)
 	if w.drained = w.drained || i.State != Running; w.drained && b.cfg.OnlyDrainBinds {
 		w.State = Draining
 	}
-	w.told = w.State
+	w.listed, w.told = b.roster.lists, w.State
 	b.bar(w)
 }
 
@@ -1003,24 +1003,25 @@
 // drop takes a worker off. Where only draining binds it stays, for a list can be wrong:
 // one that drained remains closed, any other is used as far as it still answers.
 func (b *Balancer) drop(w *worker) {
-	switch {
-	case !b.cfg.OnlyDrainBinds || w.stranger || w.goneAt > 0 && b.now > w.goneAt+forget:
+	if !b.cfg.OnlyDrainBinds || w.stranger || w.goneAt > 0 && b.now > w.goneAt+forget {
 		b.remove(w)
-	case w.goneAt == 0:
+	} else if w.goneAt == 0 {
 		w.goneAt = b.now
 	}
 }
 
 // askRoster keeps a subscription alive where the roster must be asked.
 func (b *Balancer) askRoster() {
-	r := &b.roster
-	if !b.cfg.AskRoster || r.subscribed || b.now < r.next {
-		return
+	if r := &b.roster; b.cfg.AskRoster && !r.subscribed && b.now >= r.next {
+		r.asked, r.next = b.now, b.now+b.cfg.AskEvery/2+askPause // its answer has come by then
+		b.do(Subscribe{})
 	}
-	r.next = b.now + b.cfg.AskEvery/2
-	b.do(Subscribe{})
 }
 
+// AskAgain is how long after a call to the roster failed, or a subscription broke, the next is made, by
+// how long ago it was asked for and a number drawn from 0 to 1. Danger: all dispatchers lose it at once.
+func AskAgain(ago, chance float64) float64 { return max(askSoon*chance, askPause-chance-2*ago) }
+
 // probe asks a few workers for each job that waits within its share, likely ones first,
 // and lost ones, for a small part of the jobs' worth. Danger: where jobs are few every
 // report is old, so the job waits for answers. May hurt where answers are slow.
--- a/balance/state.go
+++ b/balance/state.go
@@ -198,6 +198,7 @@
 	roster    struct {
 		subscribed bool
 		next       float64
+		asked      float64 // the last call
 		fails      int
 		known      int     // workers in order
 		lists      int     // lists and changes taken in
