Make one call to discovery at a time, and wait for the next as the module does

It now waits by balance.AskAgain as the module does. A call that was due when SIGHUP moved discovery still went out then: turn's 'again' cut the new watch off, in the middle of its call or after it had told (dispatcher.go, subscribe and route kept no hold of the timer). Where the module asks, its own call did the same to the one that the reload had made. A call given up and made again costs discovery twice.

Now subscribe stops what was due, and the module's Subscribe is answered by the call that is out.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -31,8 +31,6 @@
 	tick      = 0.004 // of the wheel at most
 	queue     = 1024  // posts waiting for the loop
 	sweep     = 0.5   // between looks at idle connections
-	askAgain  = 1.0   // at most after a watch ended that the module did not ask for and that told nothing
-	askSoon   = 0.5   // the same of one that told: what a silent one misses binds 6 s after its last byte, and it ends after 5
 	drainLook = 0.05  // between looks at what is left while draining
 	drainMost = 3.0   // the longest deadline that a stop heeds: SIGKILL comes 0.7 s after it
 	drainPast = 0.45  // of those that jobs get as well
@@ -122,16 +120,18 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	told    bool            // the watch has
-	spread  *rand.Rand      // of calls: watches of many dispatchers end together
-	ended   float64         // when the stop came
-	retired float64         // until when clients keep their connections after it
-	paused  float64         // since when operators have it empty; 0: they don't
-	yields  bool            // to a newer process
-	noteIDs *func([]string) // idsTo as the loop follows it
-	outs    map[string]bool // workers that the module was told are left out
-	ruling  *Ruling         // by which the module decides
-	unfit   *Ruling         // that the module can't use with these settings
+	asking  bool              // the watch has neither told anything nor ended
+	askedAt float64           // when it was asked for
+	askNext *wheel.Timer[any] // where changes count as pushed
+	spread  *rand.Rand        // of calls: watches of many dispatchers end together
+	ended   float64           // when the stop came
+	retired float64           // until when clients keep their connections after it
+	paused  float64           // since when operators have it empty; 0: they don't
+	yields  bool              // to a newer process
+	noteIDs *func([]string)   // idsTo as the loop follows it
+	outs    map[string]bool   // workers that the module was told are left out
+	ruling  *Ruling           // by which the module decides
+	unfit   *Ruling           // that the module can't use with these settings
 	// coldPart is how much of its part of cold workers' budgets this process uses.
 	coldPart float64
 	looker   *wheel.Timer[any] // the next look at idle connections
@@ -608,7 +608,9 @@
 	case balance.SetTimer:
 		d.wheel.Set(now+a.After, wake{})
 	case balance.Subscribe:
-		d.subscribe()
+		if !d.asking { // else the call that is out answers this one too: given up, it would be made twice
+			d.subscribe()
+		}
 	case balance.Log:
 		d.Log("%s", a.Text)
 	}
@@ -650,9 +652,11 @@
 // subscribe starts a watch, in place of one that may still be open.
 func (d *Dispatcher) subscribe() {
 	d.watch()
+	d.askNext.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.watch = cancel
 	d.watchNo++
+	d.asking, d.askedAt = true, d.clock()
 	no, seq, discovery := d.watchNo, d.table.Seq, d.Discovery
 	go func() {
 		err := d.Watch(ctx, discovery, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
@@ -665,22 +669,18 @@
 	if p.watch != d.watchNo {
 		return // of a watch that was replaced
 	}
+	d.asking = false
 	if p.up == nil {
 		if !errors.Is(p.err, context.Canceled) {
 			d.Log("discovery watch ended: %v", p.err)
 		}
 		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
 		if !d.asked() {
-			wait := askAgain
-			if d.told {
-				wait = askSoon
-			}
-			d.wheel.Set(d.clock()+wait*(0.5+d.spread.Float64()/2), again{})
+			now := d.clock()
+			d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
 		}
-		d.told = false
 		return
 	}
-	d.told = true
 	for _, addr := range d.table.Apply(p.up, d.clock()) {
 		d.Egress.Forget(addr)
 	}
