Take a result for one though its client has just left

Cause: since the loop asks Request.Left as it takes the end of an attempt, a job whose result stands in the queue ahead of its leave ended as left, and jobs that wait for it were not let go. Change: a result is taken as before; only other ends close the request there. Result: TestLeaveBehindADecision is red without it: "answers [] to what was served".

--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -44,6 +44,15 @@
 	if len(r.held) > 0 || r.counted.net != 0 {
 		t.Errorf("%d held, %v slots counted", len(r.held), r.counted.net)
 	}
+
+	// A result that was on its way before is one: what waits for this job may go.
+	served := r.runs("served", "safe")
+	served.req.Leave()
+	served.out.end(true)
+	r.take(hopNews{r.held["served"], 0, "a", egress.News{Outcome: balance.Served}})
+	if len(served.answers) != 1 || served.answers[0] != 200 {
+		t.Errorf("answers %v to what was served", served.answers)
+	}
 }
 
 // While a hop waits for its connection discovery tells of its worker. What was decided for the worker as
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -568,7 +568,8 @@
 		return
 	}
 	p.h.hops[p.n] = nil
-	if p.h.req.Left() { // its leave is on its way here: what the module hears of this attempt must not bring on another
+	if p.h.req.Left() && p.news.Outcome != balance.Served {
+		// Its leave is on its way here: what the module hears of this attempt must not bring on another.
 		d.gone(p.h)
 	}
 	if p.news.Outcome == balance.Served {
