Force over sockets that no byte follows a leave or a drain that came while a hop connected

The loop, the pool and a target are the real ones; a hook holds the hop between its connection and its last look. The client is marked as left though the loop has not heard of it, or a list has the worker drain. Result: red at crossing_test.go:221 "waited too long for the connection's end" where the look does not ask for them (the request comes to the worker); ten times clean under -race.

--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -1,13 +1,17 @@
 package dispatcher
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
 
 	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/ingress"
 	"example.org/bellstream/internal/route"
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/wiretest"
 )
 
 // A client's leaving stands in the loop's queue, behind what has the module send: no attempt begins, the
@@ -140,3 +144,83 @@
 		}
 	}
 }
+
+// heldEgress is the real egress, with a hook between a hop's connection and its last look.
+type heldEgress struct {
+	*egress.Pool
+	looks chan bool // a hop has its connection
+	on    chan bool // it may go on
+}
+
+func (e *heldEgress) Start(o *egress.Order, addr string, tell func(egress.News)) egress.Hop {
+	barred := o.Barred
+	o.Barred = func() balance.Outcome {
+		e.looks <- true
+		<-e.on
+		return barred()
+	}
+	return e.Pool.Start(o, addr, tell)
+}
+
+// noIngress is a clients' side at which nothing is.
+type noIngress struct{ Ingress }
+
+func (noIngress) Taken() int              { return 0 }
+func (noIngress) Open() int               { return 0 }
+func (noIngress) CloseIdle(time.Duration) {}
+func (noIngress) Shut()                   {}
+func (noIngress) Ended() bool             { return true }
+
+// Over sockets: a hop has its connection, and before its first byte its client leaves, of which the loop has
+// not heard, or discovery says that its worker drains. No byte comes to that worker.
+func TestNoByteBehindNewsOverSockets(t *testing.T) {
+	const options = `{"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
+		"lanes":[{"name":"unsafe","aim":1,"hard_limit":20,"semantics":"unsafe"}],"caps":{"max_attempts":3,"dial_timeout":5}}`
+	for _, what := range []string{"nothing", "leave", "drain"} {
+		s, err := settings.Parse([]byte(options))
+		if err != nil {
+			t.Fatal(err)
+		}
+		target, each := wiretest.NewTarget(t), make(chan func(*route.Update), 1)
+		e := &heldEgress{&egress.Pool{Max: 8, Dial: 5 * time.Second, Keep: time.Hour, Now: time.Now}, make(chan bool, 8), make(chan bool)}
+		list := func(health string) string {
+			return `{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"` + target.Addr + `","site":"z","health":"` + health + `"}]}`
+		}
+		d, err := New(Options{Settings: s, Known: []byte(list("active")), Egress: e, Phases: &Phases{}, Log: func(string, ...any) {}, Now: time.Now,
+			Watch: func(ctx context.Context, _ string, _ int64, to func(*route.Update)) error {
+				each <- to
+				<-ctx.Done()
+				return ctx.Err()
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go d.Run(noIngress{})
+		answers := make(chan ingress.Answer, 1)
+		req := &ingress.Request{ID: "r", Class: "unsafe", Method: "POST", URI: "/unsafe", Body: []byte("b"), Slots: 1,
+			Arrived: time.Now(), Timeout: 20 * time.Second, Answer: func(a ingress.Answer) { answers <- a }}
+		d.Arrive(req)
+		wiretest.Get(t, e.looks, "a hop that has its connection")
+		switch what {
+		case "leave":
+			req.Leave()
+		case "drain":
+			u, err := route.Parse([]byte(list("leaving")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			wiretest.Get(t, each, "the watch")(u)
+			d.Figures() // the loop has taken it in
+		}
+		close(e.on)
+		if what == "nothing" {
+			wiretest.Get(t, target.Calls, "the request").Reply(wiretest.Lines(true, `{"id":"r","state":"done","result":"x"}`))
+			if a := wiretest.Get(t, answers, "its answer"); a.Status != 200 {
+				t.Errorf("answered %d", a.Status)
+			}
+		} else if wiretest.Get(t, target.Ends, "the connection's end"); len(target.Calls) > 0 {
+			t.Errorf("%s: the request came to the worker", what)
+		}
+		d.Stop()
+	}
+}
