Look classes up by the settings they were made from, not anew with each request

Change: the loop keeps the classes for the settings and the ruling that it acts on, and makes them anew when either is another.

--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -224,3 +224,29 @@
 		d.Stop()
 	}
 }
+
+// What a hop is told of its job's class is what held as the job came: by the settings of a reload, and by rules.
+func TestHopsFollowTheClassAsItHolds(t *testing.T) {
+	r := newRig(t)
+	plain := func(s *settings.Settings) *settings.Settings { return s }
+	m := &rulesModel{until: r.now.Add(time.Hour), before: &Ruling{Over: plain}, after: &Ruling{Over: unsafeAll}}
+	r.Rules = m
+	once := func(id string) bool {
+		r.arrive(id, "safe", time.Hour)
+		return r.held[id].once
+	}
+	first := once("1")
+	s := unsafeAll(r.Settings)
+	was := r.Settings
+	r.Retune(s)
+	r.pass(8 * time.Millisecond)
+	reloaded := once("2")
+	r.Retune(was)
+	r.pass(8 * time.Millisecond)
+	back := once("3")
+	m.until = r.now
+	r.pass(8 * time.Millisecond)
+	if ruled := once("4"); first || !reloaded || back || !ruled {
+		t.Errorf("once: %v at first, %v after a reload, %v after another, %v by rules", first, reloaded, back, ruled)
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -146,6 +146,8 @@
 	steps    uint64
 	tenants  map[string]bool // those of the settings
 	seldom   *logging.Limited
+	basis    basis // of lanes
+	lanes    map[string]settings.Lane
 }
 
 // held is a request from its arrival until it is answered and no hop of it is out.
@@ -516,12 +518,10 @@
 		(*d.noteIDs)([]string{strings.Clone(r.ID)})
 	}
 	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), once: true}
-	for _, l := range d.ruled().Lanes {
-		if l.Name == r.Class {
-			h.once = l.Semantics != string(balance.Safe)
-			if l.Semantics == string(balance.Keyed) {
-				h.window = l.RepeatWindow
-			}
+	if l, ok := d.lane(r.Class); ok {
+		h.once = l.Semantics != string(balance.Safe)
+		if l.Semantics == string(balance.Keyed) {
+			h.window = l.RepeatWindow
 		}
 	}
 	if !d.admit(h) {
--- a/internal/dispatcher/ruled.go
+++ b/internal/dispatcher/ruled.go
@@ -74,6 +74,24 @@
 	return d.ruling.Over(d.Settings)
 }
 
+// basis is what the settings that are acted on are made of.
+type basis struct {
+	platform *settings.Settings
+	ruling   *Ruling
+}
+
+// lane is what they say of a class. They are looked through once for each basis: rules make them anew when asked.
+func (d *Dispatcher) lane(class string) (l settings.Lane, ok bool) {
+	if now := (basis{d.Settings, d.ruling}); now != d.basis {
+		d.basis, d.lanes = now, map[string]settings.Lane{}
+		for _, l := range d.ruled().Lanes {
+			d.lanes[l.Name] = l
+		}
+	}
+	l, ok = d.lanes[class]
+	return l, ok
+}
+
 // barred is, right before a hop's first byte, how it ends if it may not go out; empty: it may.
 // Its worker is left out by now, or it is a repeat and other rules hold than those it
 // was decided by: nothing speaks against that worker then.
