Keep turns at cold workers within the budget when all come to use theirs at once

With many dispatchers a cold worker's budget is dealt out as whole jobs by turns. The turns were scaled up by how few had been used of late, to four times (used^-1.25), as if those that had gone unused would go on doing so. Any span touches two turns, so up to 3.2 times N could go to one worker once all had jobs: a zone that comes back cold while the rest is full is just that. The lines at fault: coldSlice, `budget*min(2, 0.5*math.Pow(b.used.or(1, 2), -1.25))`. Beside it, a job sent in the very instant in which a turn began did not count as that turn's (`w.spentAt > since`): a second one could follow.

Change: a turn has half of the budget, one job at least, whatever was used before; what was learnt for it is gone.

TestTurnsUsedAtOnce is red without it at cold_test.go:455 '300 dispatchers, 16 slots: the cold worker got 3.69 times what it bears'; 0.6 at most with it. TestColdBearsTheSum (18 fleets of 3, 30 and 300) passes with it and before, and fails with coldAllows always true (1.0 to 1.6 times); TestColdWouldFall shows that nothing else spares the cold there.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -637,9 +637,9 @@
 
 // coldSlice is the work that may go to a cold worker within FallSpan, and since when it
 // counts: a slice of the multiple of its least capacity. Danger: among hundreds that is
-// below a job and none sends. Then whole jobs are dealt out by turns, one each, from half
-// of the budget as any span touches two turns, and more where few turns are used. May hurt
-// where few have jobs to send, or when all come to use their turns at once.
+// below a job and none sends. Then whole jobs are dealt out by turns, one each. Any span
+// touches two turns, and after a quiet time all come to use theirs at once, so a turn has
+// half of the budget, or one job. May hurt where few have jobs to send.
 func (b *Balancer) coldSlice(w *worker) (slice, since float64) {
 	c := &b.cfg
 	if b.warm(w) == 1 || c.FallMultiple == 0 || c.FallSpan == 0 {
@@ -654,14 +654,9 @@
 	turn := math.Floor((b.now - w.Started) / c.FallSpan)
 	place := math.Mod(float64(c.Index)+w.lot+turn*math.Floor(n/math.Phi), n)
 	since = w.Started + turn*c.FallSpan
-	if w.turned > 0 && w.turned < since {
-		b.used.add(math.Ceil(min(1, max(0, w.spentAt-w.turned))))
-		w.turned = 0
-	}
-	if (place+1)*job > budget*min(2, 0.5*math.Pow(b.used.or(1, 2), -1.25)) || w.spentAt > since {
+	if place > 0 && 2*(place+1)*job > budget || w.spentAt >= since {
 		return 0, b.now
 	}
-	w.turned = since
 	return 2 * job, since
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -104,7 +104,6 @@
 	rank        float64     // its place in the dispatcher's order
 	est, estMem float64     // free slots and memory as estimated in this step
 	slice       float64     // what may go there while cold, as of the last look
-	turned      float64     // when its last turn of this dispatcher began; 0 if that is counted
 	dealt       bool        // while it is cold, whole jobs are dealt out in turns
 	turn        int         // the last look that took it in
 	near        float64     // how much its zone is preferred
@@ -169,7 +168,6 @@
 	cold     []*worker  // those that started of late
 	open     []*worker  // those of them that this dispatcher may send to now
 	coldAt   float64    // when that is looked at again
-	used     mean       // 1 for each turn at a cold worker in which a job was sent, 0 for others
 	turn     int        // looks so far
 	misses   mean       // 1 for each send turned away as full, 0 for each that started
 	prompt   mean       // 1 for each send of a repeatable job that started soon
