Have a process that starts on no list ask for one where the module asks

Without 'known' in its configuration New had no event for the module, so the loop never gave it a step, and where membership is on_request nobody asked discovery: no list, no readiness, hence no client and no event, for ever. With an empty list as 'known' it asked.

New now has a step taken in any case. Red without it: dispatcher_test.go:495 'waited too long for on_request: a call to discovery'. Green with it, -race.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -230,6 +230,8 @@
 		r := u.Roster()
 		r.Kind = balance.RosterSaved
 		d.events = append(d.events, r)
+	} else {
+		d.events = append(d.events, balance.TimerFired{}) // a first step, in which the module asks
 	}
 	d.name()
 	return d, nil
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -469,3 +469,32 @@
 		}
 	}
 }
+
+// A process that starts on no list at all asks for one at once, whoever asks; nothing else would make the
+// module take its first step, as no client comes before it is ready.
+func TestStartOnNoList(t *testing.T) {
+	for _, mode := range []string{"pushed", "on_request"} {
+		s, err := settings.Parse([]byte(strings.Replace(options, "on_request", mode, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		asked := make(chan int64, 9)
+		r := &rig{t: t}
+		d, err := New(Options{Settings: s, Egress: r, Phases: &Phases{}, Log: func(string, ...any) {}, Now: time.Now,
+			Watch: func(ctx context.Context, _ string, seq int64, each func(*route.Update)) error {
+				asked <- seq
+				u, _ := route.Parse([]byte(known))
+				each(u)
+				<-ctx.Done()
+				return ctx.Err()
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go d.Run(r)
+		wiretest.Get(t, asked, mode+": a call to discovery")
+		wiretest.Until(t, mode+": ready", d.Phases.Ready)
+		d.Stop()
+		<-d.done
+	}
+}
