Let no older list open a worker that a newer one has closed

After SIGHUP moved discovery, or when it starts anew with smaller numbers, the first list may be older than the one in hand. It went to the module as it came (Table.Apply, Roster), and its 'active' opened a worker that had been told to drain, or was gone: sends to it break the rule on drains, whose term has run since the newer list.

The table now notes by which version a target's state was told. An entry that would open it, of a smaller version and no newer start, is taken as what is known, in the update that the module hears too. For 900 s, since numbers that have begun anew look the same.

Red without it: route_test.go, TestOlderListOpensNothing 'leaving, older: the module is told running, want draining' (and 4 more). Looked at beside it, harmless: the same version twice, a gap in the numbers (changes are told since the previous line, whatever its number), news of a watch that was replaced (watchNo).

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -64,6 +64,19 @@
 	dial   string
 	gone   bool
 	goneAt float64
+	// What was last told of it, by which version and when.
+	state balance.WorkerState
+	born  float64
+	seq   int64
+	at    float64
+}
+
+// behind says that an entry opens what a newer version has closed: an older list that comes again, from
+// another discovery or one that has started anew. Where numbers have begun again that can't be told
+// apart, so it holds for a while only.
+func (x *target) behind(e *Entry, seq int64, now float64) bool {
+	closed := x.state == balance.Draining && e.State == balance.Running || x.state == balance.Gone && e.State != balance.Gone
+	return closed && seq < x.seq && e.Started <= x.born && now < x.at+forget
 }
 
 // Table says where each egress target is dialled. It has one owner.
@@ -103,13 +116,18 @@
 }
 
 // Apply takes in an update and returns the addresses to which idle
-// connections are of no more use.
+// connections are of no more use. What a newer version has closed stays so, in the update too.
 func (t *Table) Apply(u *Update, now float64) (closed []string) {
 	t.Seq = u.Seq
 	named := map[string]bool{}
-	for _, e := range u.Entries {
+	for i := range u.Entries {
+		e := &u.Entries[i]
 		named[e.ID] = true
 		x := t.targets[e.ID]
+		if x != nil && x.behind(e, u.Seq, now) {
+			e.State, e.Started = x.state, x.born
+			continue
+		}
 		if x == nil {
 			if e.State == balance.Gone {
 				continue
@@ -126,10 +144,12 @@
 		if gone := e.State == balance.Gone; gone != x.gone {
 			x.gone, x.goneAt = gone, now
 		}
+		x.state, x.born, x.seq, x.at = e.State, max(x.born, e.Started), u.Seq, now
 	}
 	for host, x := range t.targets {
 		if u.Whole && !named[host] && !x.gone {
 			x.gone, x.goneAt = true, now
+			x.state, x.seq, x.at = balance.Gone, u.Seq, now
 			closed = append(closed, x.dial)
 		}
 		if x.gone && now > x.goneAt+forget {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -50,6 +51,59 @@
 	}
 }
 
+// An older list that comes again, as after a move to another discovery, does not open what a newer one has
+// closed. A newer one does, so does another start, and what is closed is not closed for good.
+func TestOlderListOpensNothing(t *testing.T) {
+	entry := func(health string, born int) string {
+		return fmt.Sprintf(`{"host":"a","dial":"1:1","site":"z","class":"k","health":%q,"born_ms":%d},`, health, born)
+	}
+	for name, c := range map[string]struct {
+		first  string // at 43, after version 41 had it active and born at 1000
+		whole  bool
+		seq    int64
+		second string
+		after  float64
+		want   balance.WorkerState
+	}{
+		"leaving, older":            {entry("leaving", 1000), false, 41, entry("active", 1000), 9, balance.Draining},
+		"leaving, older, changes":   {entry("leaving", 1000), false, 42, entry("active", 1000), 9, balance.Draining},
+		"leaving, older yet":        {entry("leaving", 1000), false, 41, entry("active", 500), 9, balance.Draining},
+		"leaving, newer":            {entry("leaving", 1000), false, 44, entry("active", 1000), 9, balance.Running},
+		"leaving, same":             {entry("leaving", 1000), false, 43, entry("leaving", 1000), 9, balance.Draining},
+		"leaving, another start":    {entry("leaving", 1000), false, 1, entry("active", 2000), 9, balance.Running},
+		"leaving, much later":       {entry("leaving", 1000), false, 1, entry("active", 1000), forget + 9, balance.Running},
+		"leaving, then left, older": {entry("leaving", 1000), false, 1, entry("left", 1000), 9, balance.Gone},
+		"left, older":               {entry("left", 1000), false, 41, entry("active", 1000), 9, balance.Gone},
+		"left, older and leaving":   {entry("left", 1000), false, 41, entry("leaving", 1000), 9, balance.Gone},
+		"left, newer":               {entry("left", 1000), false, 44, entry("active", 1000), 9, balance.Running},
+		"left out, older":           {"", true, 41, entry("active", 1000), 9, balance.Gone},
+		"left out, another start":   {"", true, 41, entry("active", 2000), 9, balance.Running},
+		"active, older":             {entry("active", 2000), false, 41, entry("leaving", 1000), 9, balance.Draining},
+	} {
+		table := NewTable()
+		apply := func(seq int64, whole bool, entries string, now float64) *Update {
+			entries += `{"host":"other","dial":"1:2","health":"active"}`
+			u, err := Parse([]byte(fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, entries)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			table.Apply(u, now)
+			return u
+		}
+		apply(41, true, entry("active", 1000), 100)
+		apply(43, c.whole, c.first, 101)
+		for range 2 { // and once more
+			u := apply(c.seq, true, c.second, 101+c.after)
+			if got := u.Roster().Workers[0].State; got != c.want || table.targets["a"].gone != (c.want == balance.Gone) {
+				t.Errorf("%s: the module is told %s, want %s", name, got, c.want)
+			}
+			if table.Len() == 0 || table.Seq != c.seq {
+				t.Errorf("%s: %d listed, version %d", name, table.Len(), table.Seq)
+			}
+		}
+	}
+}
+
 // FuzzParse holds that no line of discovery's ends the program, and that what
 // is taken in can be used.
 func FuzzParse(f *testing.F) {
