Keep asking discovery when a reload changes who keeps the watch

Who asks after a watch ended is fixed where it ends (route): the module, or a timer of the loop's. A reload that made membership 'pushed' between the end and the module's next call left nobody to ask: the route table stayed as it was until the next reload. The other way, the loop's timer still fired beside the module's call.

keep sets or stops the loop's timer, at a watch's end and at each reload; 'down' says whether there is something to ask for.

Red without it: dispatcher_test.go:500 'from on_request to pushed, down: 0 calls, want 1'. Green with it, -race. The test of replaced watches now holds for an update that comes late too (harmless before: watchNo).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -121,6 +121,7 @@
 	watch   context.CancelFunc
 	watchNo int
 	asking  bool              // the watch has neither told anything nor ended
+	down    bool              // it has ended, or none was asked for yet
 	askedAt float64           // when it was asked for
 	askNext *wheel.Timer[any] // where changes count as pushed
 	spread  *rand.Rand        // of calls: watches of many dispatchers end together
@@ -208,7 +209,7 @@
 	}
 	d := &Dispatcher{Options: o, coldPart: 1, base: o.Now(), round: o.Settings.Round,
 		posts: make(chan any, queue), nudges: make(chan struct{}, 1), done: make(chan struct{}),
-		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {},
+		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {}, down: true,
 		spread: rand.New(rand.NewPCG(o.Seed, 0)), seldom: logging.NewLimited(time.Minute, o.Now)}
 	bal, err := balance.New(d.config(), o.Seed)
 	if err != nil {
@@ -658,7 +659,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.watch = cancel
 	d.watchNo++
-	d.asking, d.askedAt = true, d.clock()
+	d.asking, d.down, d.askedAt = true, false, d.clock()
 	no, seq, discovery := d.watchNo, d.table.Seq, d.Discovery
 	go func() {
 		err := d.Watch(ctx, discovery, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
@@ -671,16 +672,13 @@
 	if p.watch != d.watchNo {
 		return // of a watch that was replaced
 	}
-	d.asking = false
-	if p.up == nil {
+	d.asking, d.down = false, p.up == nil
+	if d.down {
 		if !errors.Is(p.err, context.Canceled) {
 			d.Log("discovery watch ended: %v", p.err)
 		}
 		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
-		if !d.asked() {
-			now := d.clock()
-			d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
-		}
+		d.keep()
 		return
 	}
 	for _, addr := range d.table.Apply(p.up, d.clock()) {
@@ -691,6 +689,14 @@
 	d.name()
 }
 
+// keep has a watch that is down asked for again, unless the module does that.
+func (d *Dispatcher) keep() {
+	if d.askNext.Stop(); d.down && !d.asked() {
+		now := d.clock()
+		d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
+	}
+}
+
 // finished moves the phases on and says whether the loop is over.
 func (d *Dispatcher) finished(now float64) bool {
 	p := d.Phases
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -350,8 +350,9 @@
 	r.subscribe()
 	r.events = nil
 	r.take(routeNews{watch: old, err: context.Canceled})
-	if len(r.events) > 0 {
-		t.Errorf("got %v from a replaced watch", r.events)
+	r.take(routeNews{watch: old, up: &route.Update{Seq: 9, Whole: true}})
+	if len(r.events) > 0 || r.table.Seq != 1 || r.table.Len() != 2 {
+		t.Errorf("got %v from a replaced watch, version %d", r.events, r.table.Seq)
 	}
 }
 
@@ -399,19 +400,20 @@
 			r.pass(10 * time.Millisecond)
 			r.take(redirect{"new"})
 			w := wiretest.Get(t, r.watches, "the new watch")
+			no := r.watchNo
 			r.pass(3 * time.Second)
-			if len(r.watches) > 0 || w.ctx.Err() != nil {
-				t.Fatalf("%s, seed %d: %d more calls while one is out", mode, seed, len(r.watches))
+			if r.watchNo != no || w.ctx.Err() != nil {
+				t.Fatalf("%s, seed %d: %d more calls while one is out", mode, seed, r.watchNo-no)
 			}
 			r.take(routeNews{watch: r.watchNo, up: &route.Update{Seq: 2}})
 			r.pass(20 * time.Second)
-			if len(r.watches) > 0 || w.ctx.Err() != nil {
-				t.Fatalf("%s, seed %d: %d more calls though the watch is open", mode, seed, len(r.watches))
+			if r.watchNo != no || w.ctx.Err() != nil {
+				t.Fatalf("%s, seed %d: %d more calls though the watch is open", mode, seed, r.watchNo-no)
 			}
 			r.take(routeNews{watch: r.watchNo, err: context.DeadlineExceeded})
 			r.pass(200 * time.Millisecond)
-			if w = wiretest.Get(t, r.watches, "the watch that is asked for again"); len(r.watches) > 0 {
-				t.Fatalf("%s, seed %d: asked for twice", mode, seed)
+			if r.watchNo != no+1 {
+				t.Fatalf("%s, seed %d: asked for %d times when the watch ended", mode, seed, r.watchNo-no)
 			}
 		}
 	}
@@ -470,6 +472,43 @@
 	}
 }
 
+// A new configuration may change who keeps the watch. One goes on being kept, and one call at a time is made.
+func TestModeChangesWhileTheWatchIsDown(t *testing.T) {
+	for from, to := range map[string]string{"pushed": "on_request", "on_request": "pushed"} {
+		for _, state := range []string{"down", "asking", "open"} {
+			r := newRigOf(t, strings.Replace(options, "on_request", from, 1), 1)
+			if from == "pushed" {
+				r.subscribe()
+			}
+			r.pass(10 * time.Millisecond)
+			wiretest.Get(t, r.watches, "the first watch")
+			switch state {
+			case "down":
+				r.take(routeNews{watch: r.watchNo, err: context.DeadlineExceeded})
+			case "open":
+				r.take(routeNews{watch: r.watchNo, up: &route.Update{Seq: 1}})
+			}
+			r.pass(10 * time.Millisecond)
+			s, err := settings.Parse([]byte(strings.Replace(options, "on_request", to, 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			no := r.watchNo
+			r.take(retuned{s})
+			r.pass(3 * time.Second)
+			if calls, want := r.watchNo-no, map[string]int{"down": 1}[state]; calls != want {
+				t.Fatalf("from %s to %s, %s: %d calls, want %d", from, to, state, calls, want)
+			}
+			no = r.watchNo
+			r.take(routeNews{watch: no, err: context.DeadlineExceeded})
+			r.pass(3 * time.Second)
+			if r.watchNo != no+1 {
+				t.Fatalf("from %s to %s, %s: %d calls after the watch ended, want 1", from, to, state, r.watchNo-no)
+			}
+		}
+	}
+}
+
 // A process that starts on no list at all asks for one at once, whoever asks; nothing else would make the
 // module take its first step, as no client comes before it is ready.
 func TestStartOnNoList(t *testing.T) {
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -202,6 +202,7 @@
 	d.Settings, d.round, d.unfit = s, s.Round, nil
 	d.measure()
 	d.events = append(d.events, balance.Retune{Config: d.config()})
+	d.keep() // it may be this loop's now, or not any more
 }
 
 // measure takes from the settings what the loop itself goes by.
