Hold each way of losing the list to 6 s, one dispatcher and a slow call

Silence, a reset, an outage, a cut link and a discovery that accepts and says nothing, at random moments, both modes, 25 seeds each, in virtual time; the call that follows takes 2.95 s (2.7 s where one was out on the cut link).

--- a/internal/dispatcher/callers_test.go
+++ b/internal/dispatcher/callers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -26,15 +27,22 @@
 	cost, limit time.Duration
 	seq         int
 	up          bool
-	free        time.Time  // when the last of those that wait is served
-	open, dumb  []net.Conn // dumb ones are kept, and told nothing more
-	calls, late int        // in all, and those turned away
+	instead     func(context.Context) (net.Conn, error) // what becomes of new connections; nil: they come up
+	free        time.Time                               // when the last of those that wait is served
+	open, dumb  []net.Conn                              // dumb ones are kept, and told nothing more
+	calls, late int                                     // in all, and those turned away
 }
 
 func (s *inTurn) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	s.Lock()
 	defer s.Unlock()
-	if s.calls++; !s.up {
+	if s.calls++; s.instead != nil {
+		instead := s.instead
+		s.Unlock()
+		defer s.Lock()
+		return instead(ctx)
+	}
+	if !s.up {
 		return nil, syscall.ECONNREFUSED
 	}
 	here, there := net.Pipe()
@@ -262,3 +270,57 @@
 		}
 	}
 }
+
+// Whatever became of discovery, a dispatcher has the list within 6 s of its return, though its call then takes
+// nearly as long as it may; a call that was out on a cut link leaves a little less.
+func TestListIsHadInTime(t *testing.T) {
+	const (
+		long = 2950 * time.Millisecond
+		less = 2700 * time.Millisecond
+	)
+	refused := func(context.Context) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	hangs := func(ctx context.Context) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
+	mute := func(context.Context) (net.Conn, error) {
+		here, there := net.Pipe()
+		go io.Copy(io.Discard, there)
+		return here, nil
+	}
+	for name, c := range map[string]struct {
+		meanwhile func(context.Context) (net.Conn, error)
+		reset     bool // open watches
+		call      time.Duration
+	}{
+		"silent": {nil, false, long}, "reset": {nil, true, long}, "down": {refused, true, long},
+		"cut": {hangs, false, long}, "hung": {mute, false, less},
+	} {
+		for _, mode := range []string{"pushed", "on_request"} {
+			for seed := range 25 {
+				synctest.Test(t, func(t *testing.T) {
+					chance := rand.New(rand.NewPCG(uint64(seed), 7))
+					s := &inTurn{limit: 3 * time.Second, seq: 1, up: true}
+					m := runMany(t, 1, mode, known, map[string]*inTurn{"one": s})
+					defer m.stop()
+					time.Sleep(6*time.Second + time.Duration(chance.Float64()*float64(4*time.Second)))
+					synctest.Wait()
+					turn := func(cost time.Duration, instead func(context.Context) (net.Conn, error)) {
+						s.Lock()
+						defer s.Unlock()
+						s.cost, s.instead, s.up = cost, instead, true
+					}
+					s.fell(!c.reset)
+					turn(c.call, c.meanwhile)
+					from := time.Now()
+					if c.meanwhile != nil {
+						time.Sleep(time.Duration(chance.Float64() * float64(9*time.Second)))
+						from = time.Now()
+						turn(c.call, nil)
+					}
+					time.Sleep(10 * time.Second)
+					if took := m.last(2, from); took > 6*time.Second {
+						t.Errorf("%s, %s, seed %d: told %v after", name, mode, seed, took)
+					}
+				})
+			}
+		}
+	}
+}
