Keep Accept on an inherited socket from waiting in the system

Cause: O_NONBLOCK belongs to the open socket, which all processes of a dispatcher share. Who hands it to a new process clears it until that process has set it again (os.File.Fd does so, and exec calls it). An Accept of the old process in that moment waits in accept4: it hears of no deadline, so that Hold does not stop it, takes one client behind Hold, and net's Close waits for it for ever, so that the process does not end by itself. That is why a wait for Accept in Hold once hung.

Change: listen's socket sets O_NONBLOCK before each Accept. What is left, between that and the call or between two calls within one Accept, waits for SO_RCVTIMEO, 5 ms; sockets with multipath TCP, Go's default, do not heed that (strace: set on the socket, accept4 does not return), so there a window of microseconds stays.

Measured without the change: listen_test.go:57 'waited too long for Accept to heed its deadline' and :80 'waited too long for an accept where no client waits'; closing instead hung likewise. Green with it, 20 repeats, 5 under -race.

--- a/internal/service/overlap.go
+++ b/internal/service/overlap.go
@@ -42,16 +42,39 @@
 	if err != nil || is != 1 {
 		return nil, false, fmt.Errorf("%s: descriptor %d is no listening socket (%v)", inheritedKey, n, err)
 	}
+	most := unix.NsecToTimeval(lookSoon.Nanoseconds())
+	if err := unix.SetsockoptTimeval(n, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &most); err != nil {
+		return nil, false, fmt.Errorf("%s: descriptor %d: %w", inheritedKey, n, err)
+	}
 	f := os.NewFile(uintptr(n), "clients")
 	defer f.Close() // FileListener has its own
 	if l, err = net.FileListener(f); err != nil {
 		return nil, false, fmt.Errorf("%s: %w", inheritedKey, err)
 	}
-	if _, ok := l.(*net.TCPListener); !ok {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
 		l.Close()
 		return nil, false, fmt.Errorf("%s: descriptor %d is no TCP socket", inheritedKey, n)
 	}
-	return l, true, nil
+	return sharedListener{tcp}, true, nil
+}
+
+// sharedListener is a socket that other processes have as well. Whether a call on it waits in the
+// system is set for all of them, and whoever hands it to a new process may have calls wait. An accept
+// that does hears of no deadline and holds up Close until a client comes. So that is set anew before
+// each Accept, and what crosses it waits for SO_RCVTIMEO, which multipath sockets do not heed.
+type sharedListener struct{ *net.TCPListener }
+
+// Accept is part of net.Listener.
+func (l sharedListener) Accept() (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { unix.SetNonblock(int(fd), true) })
+	}
+	if err != nil {
+		return nil, err // it is closed
+	}
+	return l.TCPListener.Accept()
 }
 
 // overlap joins what operators say with the loop, and this process with
