--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -31,8 +31,6 @@
 	tick      = 0.004                 // of the wheel at most
 	queue     = 1024                  // posts waiting for the loop
 	sweep     = 0.5                   // between looks at idle connections
-	askAgain  = 1.0                   // at most after a watch ended that the module did not ask for and that told nothing
-	askSoon   = 0.5                   // the same of one that told: what a silent one misses binds 6 s after its last byte, and it ends after 5
 	drainLook = 0.05                  // between looks at what is left while draining
 	drainMost = 3.0                   // the longest deadline that a stop heeds: SIGKILL comes 0.7 s after it
 	drainPast = 0.45                  // of those that jobs get as well
@@ -126,19 +124,21 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	told    bool            // the watch has
-	spread  *rand.Rand      // of calls: watches of many dispatchers end together
-	ended   float64         // when the stop came
-	retired float64         // until when clients keep their connections after it
-	until   float64         // when what is left is answered by the module's rule
-	closing float64         // when that began
-	closed  uint64          // the last step before it
-	paused  float64         // since when operators have it empty; 0: they don't
-	yields  bool            // to a newer process
-	noteIDs *func([]string) // idsTo as the loop follows it
-	outs    map[string]bool // workers that the module was told are left out
-	ruling  *Ruling         // by which the module decides
-	unfit   *Ruling         // that the module can't use with these settings
+	asking  bool              // the watch has neither told anything nor ended
+	askedAt float64           // when it was asked for
+	askNext *wheel.Timer[any] // where changes count as pushed
+	spread  *rand.Rand        // of calls: watches of many dispatchers end together
+	ended   float64           // when the stop came
+	retired float64           // until when clients keep their connections after it
+	until   float64           // when what is left is answered by the module's rule
+	closing float64           // when that began
+	closed  uint64            // the last step before it
+	paused  float64           // since when operators have it empty; 0: they don't
+	yields  bool              // to a newer process
+	noteIDs *func([]string)   // idsTo as the loop follows it
+	outs    map[string]bool   // workers that the module was told are left out
+	ruling  *Ruling           // by which the module decides
+	unfit   *Ruling           // that the module can't use with these settings
 	// coldPart is how much of its part of cold workers' budgets this process uses.
 	coldPart float64
 	looker   *wheel.Timer[any] // the next look at idle connections
@@ -159,6 +159,10 @@
 	offered  float64       // when it came to the module
 	step     uint64        // the step that took it in; 0: it waits for others or for a time
 	promised float64       // its longest wait for a first hop; 0: none
+	once     bool          // it must not run twice at will, by its class
+	window   float64       // of a keyed one: in which it may go out again once it may have run; 0: none
+	sent     float64       // when its last hop was decided
+	ran      float64       // the same of the first that may have run; 0: none
 }
 
 func (h *held) out() bool {
@@ -449,9 +453,8 @@
 	case arrived:
 		d.arrive(p.req)
 	case left:
-		if h := d.held[p.req.ID]; h != nil && h.req == p.req && !h.answered {
-			d.events = append(d.events, balance.JobGone{ID: p.req.ID})
-			d.close(h, waiting.Left)
+		if h := d.held[p.req.ID]; h != nil && h.req == p.req {
+			d.gone(h)
 		}
 	case hopNews:
 		d.hop(p)
@@ -512,7 +515,15 @@
 	if d.noteIDs != nil {
 		(*d.noteIDs)([]string{strings.Clone(r.ID)})
 	}
-	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout))}
+	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), once: true}
+	for _, l := range d.ruled().Lanes {
+		if l.Name == r.Class {
+			h.once = l.Semantics != string(balance.Safe)
+			if l.Semantics == string(balance.Keyed) {
+				h.window = l.RepeatWindow
+			}
+		}
+	}
 	if !d.admit(h) {
 		return
 	}
@@ -538,6 +549,14 @@
 		Left: left, Slots: r.Slots, Memory: r.Memory, Retry: r.Retry, Fresh: waited})
 }
 
+// gone closes a request whose client has left, once.
+func (d *Dispatcher) gone(h *held) {
+	if !h.answered {
+		d.events = append(d.events, balance.JobGone{ID: h.req.ID})
+		d.close(h, waiting.Left)
+	}
+}
+
 // hop takes news of an attempt. News that comes after the attempt was ended
 // from here finds no hop and is dropped.
 func (d *Dispatcher) hop(p hopNews) {
@@ -549,9 +568,12 @@
 		return
 	}
 	p.h.hops[p.n] = nil
+	if p.h.req.Left() { // its leave is on its way here: what the module hears of this attempt must not bring on another
+		d.gone(p.h)
+	}
 	if p.news.Outcome == balance.Served {
 		d.answer(p.h, ingress.Answer{Status: http.StatusOK, Body: p.news.Result})
-	} else if p.news.Outcome != balance.Full {
+	} else if p.news.Outcome != balance.Full && !p.h.answered {
 		d.Log("request %s: hop %d to %s: %s (%s)", p.h.req.ID, p.n, p.host, p.news.Outcome, p.news.Why)
 	}
 	d.outcome(p.h, p.n, p.news.Outcome, p.news.Report)
@@ -567,9 +589,13 @@
 
 func (d *Dispatcher) outcome(h *held, n int, o balance.Outcome, report []float64) {
 	h.hops[n] = nil
-	if d.Counter != nil && (o == balance.Full || o == balance.Unreachable || o == balance.Void) {
+	unrun := o == balance.Full || o == balance.Unreachable || o == balance.Void || o == balance.Barred
+	if d.Counter != nil && unrun {
 		d.Counter.Back(h.req.Tenant, h.size()) // as the module does with its tags
 	}
+	if h.ran == 0 && (!unrun || o == balance.Full && d.Settings.Rules.FullUnproven) {
+		h.ran = h.sent
+	}
 	d.events = append(d.events, balance.AttemptDone{ID: h.req.ID, Attempt: n, Outcome: o, Closed: h.answered, Report: report})
 	if !h.answered && !h.out() {
 		d.enter(h, waiting.Queued) // the module has it wait for another hop, or answers it
@@ -648,7 +674,9 @@
 	case balance.SetTimer:
 		d.wheel.Set(now+a.After, wake{})
 	case balance.Subscribe:
-		d.subscribe()
+		if !d.asking { // else the call that is out answers this one too: given up, it would be made twice
+			d.subscribe()
+		}
 	case balance.Log:
 		d.Log("%s", a.Text)
 	}
@@ -661,38 +689,56 @@
 	return d.Settings.Reporting.Fields
 }
 
-// send starts an attempt.
+// send starts an attempt. A repeat has to be out whole within the window of the first that may have
+// run: that one's decision comes before it was at its worker, so what is out by then is in time.
 func (d *Dispatcher) send(a balance.Send) {
 	h := d.held[a.ID]
 	if h == nil || h.answered {
 		return
 	}
 	n := len(h.hops)
+	if h.req.Left() { // its leave is on its way here
+		d.gone(h)
+		d.events = append(d.events, balance.AttemptDone{ID: a.ID, Attempt: n, Outcome: balance.Barred, Closed: true})
+		return
+	}
 	if n == 0 {
 		d.firstHop(h)
 	}
 	if d.Counter != nil {
 		d.Counter.Start(h.req.Tenant, h.size())
 	}
-	addr, ok := d.table.Dial(a.Worker)
-	if !ok {
+	way := d.table.Way(a.Worker)
+	if way == nil {
 		h.hops = append(h.hops, nil)
 		d.outcome(h, n, balance.Unreachable, nil)
 		return
 	}
+	until := h.deadline
+	if h.window > 0 && h.ran > 0 {
+		until = min(until, h.ran+h.window)
+	}
+	h.sent = d.last
 	by := d.ruling
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
-		Body: h.req.Body, Deadline: d.time(h.deadline), Fields: d.fields(),
-		Barred: func() balance.Outcome { return d.barred(a.Worker, n > 0, by) }}
-	h.hops = append(h.hops, d.Egress.Start(o, addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
+		Body: h.req.Body, Deadline: d.time(h.deadline), Until: d.time(until), Fields: d.fields(), Once: h.once,
+		Barred: func() balance.Outcome {
+			if h.req.Left() || way.Shut() {
+				return balance.Barred
+			}
+			return d.barred(a.Worker, n > 0, by)
+		}}
+	h.hops = append(h.hops, d.Egress.Start(o, way.Addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
 }
 
 // subscribe starts a watch, in place of one that may still be open.
 func (d *Dispatcher) subscribe() {
 	d.watch()
+	d.askNext.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.watch = cancel
 	d.watchNo++
+	d.asking, d.askedAt = true, d.clock()
 	no, seq, discovery := d.watchNo, d.table.Seq, d.Discovery
 	go func() {
 		err := d.Watch(ctx, discovery, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
@@ -705,22 +751,18 @@
 	if p.watch != d.watchNo {
 		return // of a watch that was replaced
 	}
+	d.asking = false
 	if p.up == nil {
 		if !errors.Is(p.err, context.Canceled) {
 			d.Log("discovery watch ended: %v", p.err)
 		}
 		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
 		if !d.asked() {
-			wait := askAgain
-			if d.told {
-				wait = askSoon
-			}
-			d.wheel.Set(d.clock()+wait*(0.5+d.spread.Float64()/2), again{})
+			now := d.clock()
+			d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
 		}
-		d.told = false
 		return
 	}
-	d.told = true
 	for _, addr := range d.table.Apply(p.up, d.clock()) {
 		d.Egress.Forget(addr)
 	}
--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -4,12 +4,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -110,6 +113,8 @@
 	t.Helper()
 	if b, err := c.R.ReadByte(); err == nil {
 		t.Fatalf("got byte %q, want the connection's end", b)
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal("waited too long for the connection's end")
 	}
 }
 
@@ -178,3 +183,43 @@
 	}
 	return b.String()
 }
+
+// DialTCP opens a client's connection over the loopback, closed when the test is over.
+func DialTCP(t *testing.T, addr net.Addr) *Client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &Client{c, bufio.NewReader(c)}
+}
+
+// Stalled is the address of a server at which connections come up only when it has accepted
+// those before, which it does not do until the test is over.
+func Stalled(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	c, err := net.Dial("tcp", addr) // a backlog of 0 holds one
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return addr
+}
