Have the loop watch discovery where a reload ends the module's asking

Cause: where membership_mode is on_request the module asks, where it is pushed the loop asks again when a watch ends (dispatcher.go, route). Between the end of a watch and the module's next call there is none; a reload to pushed in that moment has the module ask no more (balance.askRoster), and no end comes that the loop would answer: nobody ever asked again. The other way is harmless: the module has heard that the watch ended, and a call of the loop's that is due serves it.

Change: the loop knows whether a watch is open, and on a reload opens one where it has to and none is.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -124,7 +124,8 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	asking  bool              // the watch has neither told anything nor ended
+	watches bool              // the watch has not ended
+	asking  bool              // nor told anything
 	askedAt float64           // when it was asked for
 	askNext *wheel.Timer[any] // where changes count as pushed
 	spread  *rand.Rand        // of calls: watches of many dispatchers end together
@@ -738,7 +739,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.watch = cancel
 	d.watchNo++
-	d.asking, d.askedAt = true, d.clock()
+	d.watches, d.asking, d.askedAt = true, true, d.clock()
 	no, seq, discovery := d.watchNo, d.table.Seq, d.Discovery
 	go func() {
 		err := d.Watch(ctx, discovery, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
@@ -757,7 +758,7 @@
 			d.Log("discovery watch ended: %v", p.err)
 		}
 		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
-		if !d.asked() {
+		if d.watches = false; !d.asked() {
 			now := d.clock()
 			d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
 		}
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -203,6 +203,9 @@
 func (d *Dispatcher) retune(s *settings.Settings) {
 	d.Settings, d.round, d.unfit = s, s.Round, nil
 	d.measure()
+	if !d.asked() && !d.watches { // the module asks no more, and no call of the loop's is due
+		d.subscribe()
+	}
 	d.events = append(d.events, balance.Retune{Config: d.config()})
 }
 
