Hold a stop to the deadlines that held when it came

Cause: SIGHUP behind SIGTERM ran measure(), and until the stop's own time came to be kept the drain's end moved with it: from 0.5 to 30 s of deadline it went from 0.95 to 3.45 s, where SIGKILL comes at 1.2 s.

Measured: stop_test.go:210 'deadlines of 0.5 s, then 30 s: answered after 3.456s, want 950ms' by the new settings alone, 'deadlines of 30 s, then 0.5 s: answered after 3.456s, want 950ms' by the old alone. Green with the earlier of both, -race.

--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -203,6 +203,9 @@
 func (d *Dispatcher) retune(s *settings.Settings) {
 	d.Settings, d.round, d.unfit = s, s.Round, nil
 	d.measure()
+	if d.Phases.Now() >= Retiring { // SIGKILL's time stands since the stop: a reload brings the end nearer at most
+		d.until = min(d.until, d.ended+d.most)
+	}
 	if !d.asked() && !d.watches { // the module asks no more, and no call of the loop's is due
 		d.subscribe()
 	}
--- a/internal/dispatcher/stop_test.go
+++ b/internal/dispatcher/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -182,3 +183,31 @@
 	stopped.Store(true)
 	all.Wait()
 }
+
+// A reload behind a stop does not have it last longer, as SIGKILL's time stands, nor keep jobs past an
+// earlier one.
+func TestReloadBehindAStop(t *testing.T) {
+	for _, c := range []struct {
+		before, behind string // the longest deadlines
+		most           time.Duration
+	}{{"0.5", "30", 950 * time.Millisecond}, {"30", "0.5", 950 * time.Millisecond}, {"2", "2", 2450 * time.Millisecond}} {
+		longest := func(v string) string {
+			return strings.NewReplacer(`"hard_limit":3`, `"hard_limit":`+v, `"hard_limit":2`, `"hard_limit":0.3`).Replace(options)
+		}
+		r := newRigOf(t, longest(c.before), 1)
+		a := r.runs("a", "unsafe")
+		r.take(stop{r.clock()})
+		from := r.now
+		s, err := settings.Parse([]byte(longest(c.behind)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.take(retuned{s})
+		for len(a.answers) == 0 && r.now.Sub(from) < 5*time.Second {
+			r.pass(4 * time.Millisecond)
+		}
+		if took := r.now.Sub(from); took < c.most || took > c.most+20*time.Millisecond {
+			t.Errorf("deadlines of %s s, then %s s: answered after %v, want %v", c.before, c.behind, took, c.most)
+		}
+	}
+}
