Read no report over a reload by other fields than it was asked for

Cause: a report's values stand in the order of reporting.fields as they were when the probe or the attempt left; the module reads them by the fields of the settings in force (balance.note checks their number alone). A report that crosses a reload which reorders fields, or has x0 mean something else, was read as free slots though it told of what waits.

Change: news of hops and probes carries what the fields meant when they left, and the loop drops a report that is read otherwise by now; the outcome stands.

Measured without it: reload_test.go:80 'fields ["waiting"] behind [x0]: balance.ProbeDone told of [3]'. Green with it, -race.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -146,6 +147,7 @@
 	most     float64           // how long it may take
 	steps    uint64
 	tenants  map[string]bool // those of the settings
+	reads    []string        // what the values of a report mean by them
 	seldom   *logging.Limited
 }
 
@@ -192,6 +194,11 @@
 		host string
 		news egress.News
 	}
+	// reported is hopNews or probeNews of what was asked for with these report fields.
+	reported struct {
+		by   []string
+		news any
+	}
 	routeNews struct {
 		watch int
 		up    *route.Update // nil: the watch ended
@@ -461,6 +468,8 @@
 		d.hop(p)
 	case probeNews:
 		d.events = append(d.events, balance.ProbeDone{Worker: p.host, Outcome: p.news.Outcome, Report: p.news.Report})
+	case reported:
+		d.reported(p)
 	case routeNews:
 		d.route(p)
 	case limits:
@@ -558,6 +567,24 @@
 	}
 }
 
+// reported takes news that may bring a load report. Its values are in the order of the fields by which it
+// was asked for: where a reload has others by now, it would be read as something else, and counts as none.
+func (d *Dispatcher) reported(p reported) {
+	stale := !slices.Equal(p.by, d.reads)
+	switch n := p.news.(type) {
+	case hopNews:
+		if stale {
+			n.news.Report = nil
+		}
+		d.take(n)
+	case probeNews:
+		if stale {
+			n.news.Report = nil
+		}
+		d.take(n)
+	}
+}
+
 // hop takes news of an attempt. News that comes after the attempt was ended
 // from here finds no hop and is dropped.
 func (d *Dispatcher) hop(p hopNews) {
@@ -671,7 +698,8 @@
 			d.events = append(d.events, balance.ProbeDone{Worker: host, Outcome: balance.Unreachable})
 			return
 		}
-		d.Egress.Probe(addr, d.fields(), func(n egress.News) { d.post(probeNews{host, n}) })
+		reads := d.reads
+		d.Egress.Probe(addr, d.fields(), func(n egress.News) { d.post(reported{reads, probeNews{host, n}}) })
 	case balance.SetTimer:
 		d.wheel.Set(now+a.After, wake{})
 	case balance.Subscribe:
@@ -720,7 +748,7 @@
 		until = min(until, h.ran+h.window)
 	}
 	h.sent = d.last
-	by := d.ruling
+	by, reads := d.ruling, d.reads
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
 		Body: h.req.Body, Deadline: d.time(h.deadline), Until: d.time(until), Fields: d.fields(), Once: h.once,
 		Barred: func() balance.Outcome {
@@ -729,7 +757,9 @@
 			}
 			return d.barred(a.Worker, n > 0, by)
 		}}
-	h.hops = append(h.hops, d.Egress.Start(o, way.Addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
+	h.hops = append(h.hops, d.Egress.Start(o, way.Addr, func(news egress.News) {
+		d.post(reported{reads, hopNews{h, n, a.Worker, news}})
+	}))
 }
 
 // subscribe starts a watch, in place of one that may still be open.
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -220,6 +220,7 @@
 	}
 	d.most = min(longest, drainMost) + drainPast
 	d.recent.span = max(d.recent.span, longest) // ids of longer jobs may be under way
+	d.reads = d.Settings.Config().ReportFields
 	d.tenants = map[string]bool{}
 	for _, p := range d.Settings.Parties {
 		d.tenants[p.Name] = true
--- a/internal/dispatcher/reload_test.go
+++ b/internal/dispatcher/reload_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/egress"
 	"example.org/bellstream/internal/route"
 	"example.org/bellstream/internal/settings"
 	"example.org/bellstream/internal/wiretest"
@@ -46,3 +48,43 @@
 		}
 	}
 }
+
+// A report that was asked for by the fields before a reload has its values in their order: behind the
+// reload it would be read as something else.
+func TestReportOverAReload(t *testing.T) {
+	for _, c := range []struct {
+		fields string
+		counts bool
+	}{{`["x0"]`, true}, {`["waiting"]`, false}, {`["waiting","x0"]`, false}} {
+		r := newRig(t)
+		j := r.runs("a", "safe")
+		r.act(r.clock(), balance.Probe{Worker: "a"})
+		s, err := settings.Parse([]byte(strings.Replace(options, `["x0"]`, c.fields, 1)))
+		if err != nil || len(r.probes) == 0 || j.out == nil {
+			t.Fatalf("%v, %d probes, out %v", err, len(r.probes), j.out != nil)
+		}
+		r.take(retuned{s})
+		r.events = nil
+		r.probes[0](egress.News{Outcome: balance.Served, Report: []float64{3}})
+		j.out.tell(egress.News{Outcome: balance.Errored, Report: []float64{3}})
+		r.drain()
+		seen := 0
+		for _, e := range r.events {
+			var report []float64
+			switch e := e.(type) {
+			case balance.ProbeDone:
+				report = e.Report
+			case balance.AttemptDone:
+				report = e.Report
+			default:
+				continue
+			}
+			if seen++; (report != nil) != c.counts {
+				t.Errorf("fields %s behind [x0]: %T told of %v", c.fields, e, report)
+			}
+		}
+		if seen != 2 {
+			t.Errorf("%d ends of a probe and an attempt", seen)
+		}
+	}
+}
