Let a stop bind whatever a start, a subsystem or a reload is at

Cause, each read in service.go and parts.go, then forced: - the loop heard of the stop behind all subsystems' goodbyes: one that takes long moves the drain's end past SIGKILL. - a stop that came while the program started was heard of when it served: it let clients in, and its time ran from then on. - a reload that crossed the end called subsystems that were closed, while close emptied the list that it walked.

Change: the loop is told first; a stop that is there before the clients' socket is opened ends the start; parts has a lock over the calls of its subsystems. A second signal, of either kind, was harmless and is tested: one is read, the rest stay in the channel.

Measured without it: stop_test.go:51 'waited too long for the stop', :105 'a stop while it starts: ... address already in use', :72 'closed under a reload'. Green with it, 3 repeats under -race.

--- a/internal/service/parts.go
+++ b/internal/service/parts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 
 // parts are the subsystems that run. There are none without an operator's file.
 type parts struct {
+	mu      sync.Mutex // held over calls of them: what is closed is not called any more
 	list    []subsystem
 	loop    atomic.Pointer[dispatcher.Dispatcher]
 	sharded bool // reservations stand whole at seats, so that parts of them are nobody's to lend
@@ -159,12 +161,16 @@
 }
 
 func (p *parts) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, s := range p.list {
 		s.Leave()
 	}
 }
 
 func (p *parts) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for i := len(p.list) - 1; i >= 0; i-- {
 		p.list[i].Close()
 	}
@@ -178,6 +184,8 @@
 		log.Error().Msgf("reload: the old operator's file stays in force: %v", err)
 		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, s := range p.list {
 		if err := s.Reload(next); err != nil {
 			log.Error().Msgf("reload: %v", err)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -45,6 +45,10 @@
 	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
+	return serve(config, file, stops, reloads)
+}
+
+func serve(config, file string, stops, reloads <-chan os.Signal) error {
 	conf, err := settings.Load(config)
 	if err != nil {
 		return err
@@ -88,6 +92,12 @@
 		return err
 	}
 	parts.bind(d)
+	select {
+	case sig := <-stops: // while it started: nothing was taken, and nobody is to be let in for so short a time
+		logf("%s: stopping before the start is over", sig)
+		return nil
+	default:
+	}
 	l, inherited, err := listen(conf.Listen)
 	if err != nil {
 		return err
@@ -111,11 +121,7 @@
 		}
 	}
 	go server.Serve(l)
-	go func() {
-		logf("%s: stopping", <-stops)
-		parts.leave()
-		d.Stop()
-	}()
+	go stop(stops, d, parts, logf)
 	go func() {
 		for range reloads {
 			if r.reload() && file != "" {
@@ -129,6 +135,15 @@
 	return nil
 }
 
+// stop waits for the signal and has all of it end. The loop hears of it first: SIGKILL's time runs, and a
+// subsystem may take long to say goodbye. Further signals change nothing.
+func stop(stops <-chan os.Signal, d *dispatcher.Dispatcher, parts *parts, logf func(string, ...any)) {
+	sig := <-stops
+	d.Stop()
+	logf("%s: stopping", sig)
+	parts.leave()
+}
+
 func logger(op *operator.File) (zerolog.Logger, error) {
 	level, format := "", ""
 	if op != nil && op.Log != nil {
