Let no hand-over put off the closing of idle connections in a drain

Cause: a dispatcher that is told to stop while a newer process runs comes to yield (service/overlap.go tells the others that it leaves, and the other leads). operate() then set the next look at idle connections 1 s on, in place of the one that was due: in a drain none was closed for that second, though clients send on what stays open.

Change: such a look is never later than the stop has it.

Measured without it: stop_test.go:309 '0 looks at idle connections in 0.2 s'. Green with it, -race.

Tests beside it that were green before: a stop before the first list (what is held goes out when one comes), results before and behind the module's answers at the end of the drain (one answer each, the result where it was there in time).

--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -151,7 +151,11 @@
 		d.cold(coldNone)
 		if d.Phases.Now() > Starting {
 			d.Log("yielding to a newer process: %d requests held", len(d.held))
-			d.lookAt(now + yieldIdle)
+			at := now + yieldIdle
+			if d.Phases.Now() >= Retiring { // it was told to stop before: no later than that has it
+				at = min(at, d.retired)
+			}
+			d.lookAt(at)
 		}
 	case !yields && d.yields:
 		d.yields = false
--- a/internal/dispatcher/stop_test.go
+++ b/internal/dispatcher/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/handover"
 	"example.org/bellstream/internal/ingress"
 	"example.org/bellstream/internal/route"
 	"example.org/bellstream/internal/settings"
@@ -211,3 +215,99 @@
 		}
 	}
 }
+
+// A stop before the first list: what is held goes out when a list comes, and all else is as in any stop.
+func TestStopBeforeTheFirstList(t *testing.T) {
+	r := newRig(t)
+	for host := range r.table.Names() { // nothing is known
+		u, _ := route.Parse([]byte(`{"seq":2,"hosts":[{"host":"` + host + `","health":"left"}]}`))
+		r.take(routeNews{watch: r.watchNo, up: u})
+	}
+	r.Phases = &Phases{}
+	a, b := r.arrive("a", "safe", 30*time.Second), r.arrive("b", "unsafe", time.Hour)
+	r.take(stop{r.clock()})
+	r.pass(100 * time.Millisecond)
+	if r.Phases.Now() != Retiring || len(a.answers) > 0 {
+		t.Fatalf("phase %v, answers %v", r.Phases.Now(), a.answers)
+	}
+	u, _ := route.Parse([]byte(known))
+	r.take(routeNews{watch: r.watchNo, up: u})
+	r.pass(40 * time.Millisecond)
+	for _, tell := range r.probes {
+		tell(egress.News{Outcome: balance.Served, Report: []float64{3}})
+	}
+	r.pass(40 * time.Millisecond)
+	if a.out == nil || b.out == nil {
+		t.Fatal("not sent once a list is there")
+	}
+	for _, h := range slices.Clone(r.out) {
+		h.end(true)
+		h.tell(egress.News{Outcome: balance.Served})
+	}
+	r.ends()
+	if len(a.answers) != 1 || len(b.answers) != 1 || a.answers[0] != 200 || b.answers[0] != 200 {
+		t.Errorf("answers %v and %v", a.answers, b.answers)
+	}
+}
+
+// A result that comes with the end of the drain's time, before or behind the module's answers, and one
+// that comes as the loop ends: each request has one answer, a result where it was there in time.
+func TestResultsAtClosing(t *testing.T) {
+	for _, c := range []struct {
+		when string
+		want int
+	}{{"before", 200}, {"told", 200}, {"answered", 502}} {
+		r := newRig(t)
+		a := r.runs("a", "unsafe")
+		h := a.out
+		r.take(stop{r.clock()})
+		served := func() {
+			if h.end(true); c.when == "answered" {
+				h.over = false // it was abandoned, and tells all the same
+			}
+			h.tell(egress.News{Outcome: balance.Served})
+			r.drain()
+		}
+		r.now = r.time(r.until)
+		r.turn(r.clock())
+		r.finished(r.clock())
+		if c.when == "before" {
+			served()
+		}
+		r.now = r.now.Add(4 * time.Millisecond)
+		r.turn(r.clock())
+		r.finished(r.clock()) // the module is told by the next step
+		if c.when == "told" {
+			if r.Phases.Now() != Closing || len(a.answers) > 0 {
+				t.Fatalf("phase %v, answers %v", r.Phases.Now(), a.answers)
+			}
+			served()
+		}
+		r.pass(8 * time.Millisecond)
+		if c.when == "answered" {
+			served()
+		}
+		if r.pass(200 * time.Millisecond); r.Phases.Now() != Stopped {
+			t.Errorf("%s: phase %v", c.when, r.Phases.Now())
+		}
+		if len(a.answers) != 1 || a.answers[0] != c.want {
+			t.Errorf("%s: answers %v, want %d", c.when, a.answers, c.want)
+		}
+	}
+}
+
+// One that is drained and comes to yield goes on to close idle connections.
+func TestYieldWhileItDrains(t *testing.T) {
+	r := newRig(t)
+	r.runs("a", "unsafe")
+	r.take(stop{r.clock()})
+	r.pass(2100 * time.Millisecond)
+	if r.Phases.Now() != Draining {
+		t.Fatalf("phase %v", r.Phases.Now())
+	}
+	r.Adopt(&handover.Shared{}, false)
+	looks := r.closed
+	if r.pass(200 * time.Millisecond); r.closed < looks+3 {
+		t.Errorf("%d looks at idle connections in 0.2 s", r.closed-looks)
+	}
+}
