--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -151,7 +151,11 @@
 		d.cold(coldNone)
 		if d.Phases.Now() > Starting {
 			d.Log("yielding to a newer process: %d requests held", len(d.held))
-			d.lookAt(now + yieldIdle)
+			at := now + yieldIdle
+			if d.Phases.Now() >= Retiring { // it was told to stop before: no later than that has it
+				at = min(at, d.retired)
+			}
+			d.lookAt(at)
 		}
 	case !yields && d.yields:
 		d.yields = false
@@ -203,6 +207,9 @@
 func (d *Dispatcher) retune(s *settings.Settings) {
 	d.Settings, d.round, d.unfit = s, s.Round, nil
 	d.measure()
+	if d.Phases.Now() >= Retiring { // SIGKILL's time stands since the stop: a reload brings the end nearer at most
+		d.until = min(d.until, d.ended+d.most)
+	}
 	d.events = append(d.events, balance.Retune{Config: d.config()})
 	d.keep() // it may be this loop's now, or not any more
 }
@@ -215,6 +222,7 @@
 	}
 	d.most = min(longest, drainMost) + drainPast
 	d.recent.span = max(d.recent.span, longest) // ids of longer jobs may be under way
+	d.reads = d.Settings.Config().ReportFields
 	d.tenants = map[string]bool{}
 	for _, p := range d.Settings.Parties {
 		d.tenants[p.Name] = true
