--- a/internal/dispatcher/callers_test.go
+++ b/internal/dispatcher/callers_test.go
@@ -294,33 +294,35 @@
 		"cut": {hangs, false, long}, "hung": {mute, false, less},
 	} {
 		for _, mode := range []string{"pushed", "on_request"} {
-			for seed := range 25 {
-				synctest.Test(t, func(t *testing.T) {
-					chance := rand.New(rand.NewPCG(uint64(seed), 7))
-					s := &inTurn{limit: 3 * time.Second, seq: 1, up: true}
-					m := runMany(t, 1, mode, known, map[string]*inTurn{"one": s})
-					defer m.stop()
-					time.Sleep(6*time.Second + time.Duration(chance.Float64()*float64(4*time.Second)))
-					synctest.Wait()
-					turn := func(cost time.Duration, instead func(context.Context) (net.Conn, error)) {
-						s.Lock()
-						defer s.Unlock()
-						s.cost, s.instead, s.up = cost, instead, true
-					}
-					s.fell(!c.reset)
-					turn(c.call, c.meanwhile)
-					from := time.Now()
-					if c.meanwhile != nil {
-						time.Sleep(time.Duration(chance.Float64() * float64(9*time.Second)))
-						from = time.Now()
-						turn(c.call, nil)
-					}
-					time.Sleep(10 * time.Second)
-					if took := m.last(2, from); took > 6*time.Second {
-						t.Errorf("%s, %s, seed %d: told %v after", name, mode, seed, took)
-					}
-				})
-			}
+			t.Run(name+" "+mode, func(t *testing.T) {
+				for seed := range 25 {
+					synctest.Test(t, func(t *testing.T) {
+						chance := rand.New(rand.NewPCG(uint64(seed), 7))
+						s := &inTurn{limit: 3 * time.Second, seq: 1, up: true}
+						m := runMany(t, 1, mode, known, map[string]*inTurn{"one": s})
+						defer m.stop()
+						time.Sleep(6*time.Second + time.Duration(chance.Float64()*float64(4*time.Second)))
+						synctest.Wait()
+						turn := func(cost time.Duration, instead func(context.Context) (net.Conn, error)) {
+							s.Lock()
+							defer s.Unlock()
+							s.cost, s.instead, s.up = cost, instead, true
+						}
+						s.fell(!c.reset)
+						turn(c.call, c.meanwhile)
+						from := time.Now()
+						if c.meanwhile != nil {
+							time.Sleep(time.Duration(chance.Float64() * float64(9*time.Second)))
+							from = time.Now()
+							turn(c.call, nil)
+						}
+						time.Sleep(10 * time.Second)
+						if took := m.last(2, from); took > 6*time.Second {
+							t.Errorf("seed %d: told %v after", seed, took)
+						}
+					})
+				}
+			})
 		}
 	}
 }
