--- /dev/null
+++ b/internal/service/clients_test.go
@@ -0,0 +1,167 @@
+package service
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"example.org/bellstream/internal/wiretest"
+)
+
+// sender sends one job after the other on a connection that it keeps, as the protocol's clients do, up to
+// the connection's end and, while new ones are brought, on the next.
+type sender struct {
+	addr     string
+	answered map[string]int // by id
+	wrong    []string
+}
+
+func (s *sender) run(no int, ready func(), brought func() bool) {
+	for n := 0; brought(); {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			s.wrong = append(s.wrong, err.Error())
+			return
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		r := bufio.NewReader(c)
+		for used := false; ; used = true {
+			id := fmt.Sprintf("%d-%d", no, n)
+			n++
+			_, err := fmt.Fprintf(c, "POST /c HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\nRequest-Timeout: 0.3\r\nContent-Length: 2\r\n\r\nhi", id)
+			if _, peek := r.Peek(1); err == nil {
+				err = peek
+			}
+			if err != nil {
+				if !used { // a connection that was used may end between two requests, a new one not
+					s.wrong = append(s.wrong, fmt.Sprintf("%s: a new connection: %v", id, err))
+				}
+				break
+			}
+			resp, err := http.ReadResponse(r, nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			if err != nil {
+				s.wrong = append(s.wrong, fmt.Sprintf("%s: a broken answer: %v", id, err))
+				break
+			}
+			if s.answered[id] = resp.StatusCode; resp.Close {
+				break
+			}
+			ready()
+		}
+		c.Close()
+	}
+}
+
+// Clients send on every connection that stays open, up to the process's end, while it is told to stop:
+// each request that was sent on gets its answer, no new connection ends without one, and the process
+// ends before SIGKILL would come.
+func TestClientsSendUpToTheEnd(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes a second")
+	}
+	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
+	var sent sync.Map
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case call := <-target.Calls:
+				id := call.Req.Header.Get("Request-Id")
+				sent.Store(id, true)
+				call.Reply(wiretest.Lines(true, fmt.Sprintf(`{"id":%q,"from":"w","state":"done","result":"x"}`, id)))
+			}
+		}
+	}()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	handed, err := unix.Dup(int(f.Fd()))
+	f.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(inheritedKey, strconv.Itoa(handed))
+	t.Setenv("TMPDIR", t.TempDir())
+	config := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(config, fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","discovery":%q,
+	 "known":{"seq":1,"whole":true,"hosts":[{"host":"w","dial":%q,"health":"active"}]},
+	 "settings":{"lanes":[{"name":"c","hard_limit":0.3,"semantics":"unsafe"}],"membership_mode":"pushed","round":0.004,
+	  "caps":{"max_attempts":2}}}`, discovery.Addr, target.Addr), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	stops, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- serve(config, "", stops, nil) }()
+
+	var stopped atomic.Int64 // when, in nanoseconds
+	brought := func() bool {
+		at := stopped.Load()
+		return at == 0 || time.Since(time.Unix(0, at)) < 300*time.Millisecond
+	}
+	senders := make([]*sender, 12)
+	var all, warm sync.WaitGroup
+	for n := range senders {
+		s := &sender{addr: l.Addr().String(), answered: map[string]int{}}
+		senders[n] = s
+		all.Add(1)
+		warm.Add(1)
+		go func() {
+			defer all.Done()
+			s.run(n, sync.OnceFunc(warm.Done), brought)
+		}()
+	}
+	warm.Wait()
+	stopped.Store(time.Now().UnixNano())
+	from := time.Now()
+	stops <- syscall.SIGTERM
+	if err := wiretest.Get(t, ended, "the end"); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+	if took := time.Since(from); took > 3*time.Second { // 1 s and more on a busy machine; with the longest deadline it is 3.6 s
+		t.Errorf("ended after %v", took)
+	}
+	all.Wait()
+	answered := 0
+	for _, s := range senders {
+		for _, w := range s.wrong {
+			t.Error(w)
+		}
+		for id, status := range s.answered {
+			sent.Delete(id)
+			if answered++; status != 200 && status != 503 {
+				t.Errorf("%s: got %d", id, status)
+			}
+		}
+	}
+	sent.Range(func(id, _ any) bool {
+		t.Errorf("%s was sent on and has no answer", id)
+		return true
+	})
+	if answered < len(senders) {
+		t.Errorf("%d answers", answered)
+	}
+}
