Turn the loop's wheel by the grace of the settings in force

Cause: the wheel's tick is a quarter of rules.grace_to_answer, and was taken from the settings of the start: after a reload from 16 to 4 ms a deadline was still looked at up to 4 ms late, all of the grace.

Change: a reload has the wheel turn by the new tick; timers keep their times.

Measured without it: reload_test.go:114 'no answer 1.75ms after the deadline'. Green with it, -race.

--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -207,6 +207,7 @@
 func (d *Dispatcher) retune(s *settings.Settings) {
 	d.Settings, d.round, d.unfit = s, s.Round, nil
 	d.measure()
+	d.wheel.Retick(fineTick(s.Rules.GraceToAnswer), d.clock())
 	if d.Phases.Now() >= Retiring { // SIGKILL's time stands since the stop: a reload brings the end nearer at most
 		d.until = min(d.until, d.ended+d.most)
 	}
--- a/internal/dispatcher/reload_test.go
+++ b/internal/dispatcher/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +89,32 @@
 		}
 	}
 }
+
+// A reload to a shorter grace has deadlines looked at by the tick that goes with it.
+func TestReloadOfTheGrace(t *testing.T) {
+	r := newRig(t)
+	r.reload(`"grace_to_answer":0.016`, `"grace_to_answer":0.004`)
+	var jobs []*jobModel
+	for n := range 4 { // a millisecond from one to the next: 4 ms are one tick of the longer grace
+		j := r.arrive(fmt.Sprint(n), "unsafe", time.Duration(300+n)*time.Millisecond)
+		for r.pass(8 * time.Millisecond); j.out == nil && r.now.Before(j.sent.Add(200*time.Millisecond)); r.pass(4 * time.Millisecond) {
+			for _, tell := range r.probes {
+				tell(egress.News{Outcome: balance.Served, Report: []float64{3}})
+			}
+			r.probes = nil
+		}
+		if j.out == nil {
+			t.Fatal("not sent")
+		}
+		jobs = append(jobs, j)
+	}
+	for _, j := range jobs {
+		for end := j.sent.Add(j.req.Timeout); len(j.answers) == 0; r.now = r.now.Add(250 * time.Microsecond) {
+			if late := r.now.Sub(end); late > 1500*time.Microsecond {
+				t.Errorf("no answer %v after the deadline", late)
+				break
+			}
+			r.turn(r.clock())
+		}
+	}
+}
--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -47,6 +47,22 @@
 	return t
 }
 
+// Retick has the wheel turn by another tick. Timers keep their times, each to the tick that it was set by.
+func (w *Wheel[T]) Retick(tick, now float64) {
+	if tick == w.tick {
+		return
+	}
+	old := *w
+	*w = *New[T](tick, now)
+	for _, s := range old.slots {
+		for _, t := range s {
+			t.due = max(int64(math.Ceil(float64(t.due)*old.tick/tick-1e-3)), w.done+1)
+			w.slots[t.due%spokes] = append(w.slots[t.due%spokes], t)
+			w.count++
+		}
+	}
+}
+
 // Next returns when the wheel is to be advanced again, and false where it is
 // empty. It may name a time too early by whole turns, never one too late.
 func (w *Wheel[T]) Next() (float64, bool) {
--- a/internal/wheel/wheel_test.go
+++ b/internal/wheel/wheel_test.go
@@ -50,3 +50,36 @@
 		t.Errorf("%d timers fired, want 999", len(got))
 	}
 }
+
+// Another tick moves no timer, but for what the ticks are apart, and loses none; what was stopped stays so.
+func TestRetick(t *testing.T) {
+	for _, ticks := range [][2]float64{{0.004, 0.001}, {0.001, 0.004}, {0.004, 0.004}} {
+		start := 1.7e9
+		w := New[int](ticks[0], start)
+		for i := range 3000 { // up to many turns of either
+			w.Set(start+float64(i)*0.0037, i)
+		}
+		stopped := w.Set(start+1, -1)
+		w.Advance(start + 0.1)
+		w.Retick(ticks[1], start+0.1)
+		stopped.Stop()
+		at := map[int]float64{}
+		for now := start + 0.1; now < start+12; now += 0.001 {
+			for _, i := range w.Advance(now) {
+				at[i] = now
+			}
+		}
+		for i := 28; i < 3000; i++ { // those before have fired
+			want := start + float64(i)*0.0037
+			if late := at[i] - want; late < -0.0011 || late > ticks[0]+ticks[1]+0.001 {
+				t.Fatalf("ticks %v: timer %d fired %v s after its time", ticks, i, late)
+			}
+		}
+		if _, ok := at[-1]; ok || len(at) > 2973 {
+			t.Errorf("ticks %v: %d timers fired, the stopped one %v", ticks, len(at), ok)
+		}
+		if _, ok := w.Next(); ok {
+			t.Errorf("ticks %v: the wheel is not empty", ticks)
+		}
+	}
+}
