--- a/balance/state.go
+++ b/balance/state.go
@@ -104,7 +104,6 @@
 	rank        float64     // its place in the dispatcher's order
 	est, estMem float64     // free slots and memory as estimated in this step
 	slice       float64     // what may go there while cold, as of the last look
-	turned      float64     // when its last turn of this dispatcher began; 0 if that is counted
 	dealt       bool        // while it is cold, whole jobs are dealt out in turns
 	turn        int         // the last look that took it in
 	near        float64     // how much its zone is preferred
@@ -169,7 +168,6 @@
 	cold     []*worker  // those that started of late
 	open     []*worker  // those of them that this dispatcher may send to now
 	coldAt   float64    // when that is looked at again
-	used     mean       // 1 for each turn at a cold worker in which a job was sent, 0 for others
 	turn     int        // looks so far
 	misses   mean       // 1 for each send turned away as full, 0 for each that started
 	prompt   mean       // 1 for each send of a repeatable job that started soon
@@ -182,6 +180,7 @@
 	asking   bool       // an answer to a probe may come at any moment
 	harmless bool       // some class may be repeated
 	kinded   bool       // some class runs on one kind of worker only
+	shown    float64    // most free slots that an estimate can show: 1 where no report comes, of any job then
 	byID     map[string]*worker
 	outs     map[string]float64 // workers that operators leave out, and since when
 	kinds    means              // running times against the fleet's
@@ -244,6 +243,9 @@
 // of it may be on their way; a tenant that is not has no reservation.
 func (b *Balancer) adopt() {
 	b.kinded, b.harmless = false, false
+	if b.shown = math.Inf(1); len(b.cfg.ReportFields) == 0 {
+		b.shown = 1
+	}
 	for _, c := range b.cfg.Classes {
 		n, old := &class{Class: c}, b.classes[c.Name]
 		if old != nil {
--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -1,13 +1,17 @@
 package dispatcher
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
 
 	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/ingress"
 	"example.org/bellstream/internal/route"
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/wiretest"
 )
 
 // A client's leaving stands in the loop's queue, behind what has the module send: no attempt begins, the
@@ -44,6 +48,15 @@
 	if len(r.held) > 0 || r.counted.net != 0 {
 		t.Errorf("%d held, %v slots counted", len(r.held), r.counted.net)
 	}
+
+	// A result that was on its way before is one: what waits for this job may go.
+	served := r.runs("served", "safe")
+	served.req.Leave()
+	served.out.end(true)
+	r.take(hopNews{r.held["served"], 0, "a", egress.News{Outcome: balance.Served}})
+	if len(served.answers) != 1 || served.answers[0] != 200 {
+		t.Errorf("answers %v to what was served", served.answers)
+	}
 }
 
 // While a hop waits for its connection discovery tells of its worker. What was decided for the worker as
@@ -131,3 +144,109 @@
 		}
 	}
 }
+
+// heldEgress is the real egress, with a hook between a hop's connection and its last look.
+type heldEgress struct {
+	*egress.Pool
+	looks chan bool // a hop has its connection
+	on    chan bool // it may go on
+}
+
+func (e *heldEgress) Start(o *egress.Order, addr string, tell func(egress.News)) egress.Hop {
+	barred := o.Barred
+	o.Barred = func() balance.Outcome {
+		e.looks <- true
+		<-e.on
+		return barred()
+	}
+	return e.Pool.Start(o, addr, tell)
+}
+
+// noIngress is a clients' side at which nothing is.
+type noIngress struct{ Ingress }
+
+func (noIngress) Taken() int              { return 0 }
+func (noIngress) Open() int               { return 0 }
+func (noIngress) CloseIdle(time.Duration) {}
+func (noIngress) Shut()                   {}
+func (noIngress) Ended() bool             { return true }
+
+// Over sockets: a hop has its connection, and before its first byte its client leaves, of which the loop has
+// not heard, or discovery says that its worker drains. No byte comes to that worker.
+func TestNoByteBehindNewsOverSockets(t *testing.T) {
+	const options = `{"balancers":1,"zone":"z","membership_mode":"pushed","round":0.004,
+		"lanes":[{"name":"unsafe","aim":1,"hard_limit":20,"semantics":"unsafe"}],"caps":{"max_attempts":3,"dial_timeout":5}}`
+	for _, what := range []string{"nothing", "leave", "drain"} {
+		s, err := settings.Parse([]byte(options))
+		if err != nil {
+			t.Fatal(err)
+		}
+		target, each := wiretest.NewTarget(t), make(chan func(*route.Update), 1)
+		e := &heldEgress{&egress.Pool{Max: 8, Dial: 5 * time.Second, Keep: time.Hour, Now: time.Now}, make(chan bool, 8), make(chan bool)}
+		list := func(health string) string {
+			return `{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"` + target.Addr + `","site":"z","health":"` + health + `"}]}`
+		}
+		d, err := New(Options{Settings: s, Known: []byte(list("active")), Egress: e, Phases: &Phases{}, Log: func(string, ...any) {}, Now: time.Now,
+			Watch: func(ctx context.Context, _ string, _ int64, to func(*route.Update)) error {
+				each <- to
+				<-ctx.Done()
+				return ctx.Err()
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go d.Run(noIngress{})
+		answers := make(chan ingress.Answer, 1)
+		req := &ingress.Request{ID: "r", Class: "unsafe", Method: "POST", URI: "/unsafe", Body: []byte("b"), Slots: 1,
+			Arrived: time.Now(), Timeout: 20 * time.Second, Answer: func(a ingress.Answer) { answers <- a }}
+		d.Arrive(req)
+		wiretest.Get(t, e.looks, "a hop that has its connection")
+		switch what {
+		case "leave":
+			req.Leave()
+		case "drain":
+			u, err := route.Parse([]byte(list("leaving")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			wiretest.Get(t, each, "the watch")(u)
+			d.Figures() // the loop has taken it in
+		}
+		close(e.on)
+		if what == "nothing" {
+			wiretest.Get(t, target.Calls, "the request").Reply(wiretest.Lines(true, `{"id":"r","state":"done","result":"x"}`))
+			if a := wiretest.Get(t, answers, "its answer"); a.Status != 200 {
+				t.Errorf("answered %d", a.Status)
+			}
+		} else if wiretest.Get(t, target.Ends, "the connection's end"); len(target.Calls) > 0 {
+			t.Errorf("%s: the request came to the worker", what)
+		}
+		d.Stop()
+	}
+}
+
+// What a hop is told of its job's class is what held as the job came: by the settings of a reload, and by rules.
+func TestHopsFollowTheClassAsItHolds(t *testing.T) {
+	r := newRig(t)
+	plain := func(s *settings.Settings) *settings.Settings { return s }
+	m := &rulesModel{until: r.now.Add(time.Hour), before: &Ruling{Over: plain}, after: &Ruling{Over: unsafeAll}}
+	r.Rules = m
+	once := func(id string) bool {
+		r.arrive(id, "safe", time.Hour)
+		return r.held[id].once
+	}
+	first := once("1")
+	s := unsafeAll(r.Settings)
+	was := r.Settings
+	r.Retune(s)
+	r.pass(8 * time.Millisecond)
+	reloaded := once("2")
+	r.Retune(was)
+	r.pass(8 * time.Millisecond)
+	back := once("3")
+	m.until = r.now
+	r.pass(8 * time.Millisecond)
+	if ruled := once("4"); first || !reloaded || back || !ruled {
+		t.Errorf("once: %v at first, %v after a reload, %v after another, %v by rules", first, reloaded, back, ruled)
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -125,8 +125,8 @@
 	last    float64 // the last step
 	watch   context.CancelFunc
 	watchNo int
-	watches bool              // the watch has not ended
-	asking  bool              // nor told anything
+	asking  bool              // the watch has neither told anything nor ended
+	down    bool              // it has ended, or none was asked for yet
 	askedAt float64           // when it was asked for
 	askNext *wheel.Timer[any] // where changes count as pushed
 	spread  *rand.Rand        // of calls: watches of many dispatchers end together
@@ -149,6 +149,8 @@
 	tenants  map[string]bool // those of the settings
 	reads    []string        // what the values of a report mean by them
 	seldom   *logging.Limited
+	basis    basis // of lanes
+	lanes    map[string]settings.Lane
 }
 
 // held is a request from its arrival until it is answered and no hop of it is out.
@@ -227,7 +229,7 @@
 	}
 	d := &Dispatcher{Options: o, coldPart: 1, base: o.Now(), round: o.Settings.Round,
 		posts: make(chan any, queue), nudges: make(chan struct{}, 1), done: make(chan struct{}),
-		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {},
+		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {}, down: true,
 		spread: rand.New(rand.NewPCG(o.Seed, 0)), seldom: logging.NewLimited(time.Minute, o.Now)}
 	bal, err := balance.New(d.config(), o.Seed)
 	if err != nil {
@@ -249,6 +251,8 @@
 		r := u.Roster()
 		r.Kind = balance.RosterSaved
 		d.events = append(d.events, r)
+	} else {
+		d.events = append(d.events, balance.TimerFired{}) // a first step, in which the module asks
 	}
 	d.name()
 	return d, nil
@@ -526,12 +530,10 @@
 		(*d.noteIDs)([]string{strings.Clone(r.ID)})
 	}
 	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), once: true}
-	for _, l := range d.ruled().Lanes {
-		if l.Name == r.Class {
-			h.once = l.Semantics != string(balance.Safe)
-			if l.Semantics == string(balance.Keyed) {
-				h.window = l.RepeatWindow
-			}
+	if l, ok := d.lane(r.Class); ok {
+		h.once = l.Semantics != string(balance.Safe)
+		if l.Semantics == string(balance.Keyed) {
+			h.window = l.RepeatWindow
 		}
 	}
 	if !d.admit(h) {
@@ -596,7 +598,8 @@
 		return
 	}
 	p.h.hops[p.n] = nil
-	if p.h.req.Left() { // its leave is on its way here: what the module hears of this attempt must not bring on another
+	if p.h.req.Left() && p.news.Outcome != balance.Served {
+		// Its leave is on its way here: what the module hears of this attempt must not bring on another.
 		d.gone(p.h)
 	}
 	if p.news.Outcome == balance.Served {
@@ -769,7 +772,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.watch = cancel
 	d.watchNo++
-	d.watches, d.asking, d.askedAt = true, true, d.clock()
+	d.asking, d.down, d.askedAt = true, false, d.clock()
 	no, seq, discovery := d.watchNo, d.table.Seq, d.Discovery
 	go func() {
 		err := d.Watch(ctx, discovery, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
@@ -782,16 +785,13 @@
 	if p.watch != d.watchNo {
 		return // of a watch that was replaced
 	}
-	d.asking = false
-	if p.up == nil {
+	d.asking, d.down = false, p.up == nil
+	if d.down {
 		if !errors.Is(p.err, context.Canceled) {
 			d.Log("discovery watch ended: %v", p.err)
 		}
 		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
-		if d.watches = false; !d.asked() {
-			now := d.clock()
-			d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
-		}
+		d.keep()
 		return
 	}
 	for _, addr := range d.table.Apply(p.up, d.clock()) {
@@ -802,6 +802,14 @@
 	d.name()
 }
 
+// keep has a watch that is down asked for again, unless the module does that.
+func (d *Dispatcher) keep() {
+	if d.askNext.Stop(); d.down && !d.asked() {
+		now := d.clock()
+		d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
+	}
+}
+
 // finished moves the phases on and says whether the loop is over.
 func (d *Dispatcher) finished(now float64) bool {
 	p := d.Phases
--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -211,10 +211,8 @@
 	if d.Phases.Now() >= Retiring { // SIGKILL's time stands since the stop: a reload brings the end nearer at most
 		d.until = min(d.until, d.ended+d.most)
 	}
-	if !d.asked() && !d.watches { // the module asks no more, and no call of the loop's is due
-		d.subscribe()
-	}
 	d.events = append(d.events, balance.Retune{Config: d.config()})
+	d.keep() // it may be this loop's now, or not any more
 }
 
 // measure takes from the settings what the loop itself goes by.
