Count a long job at a turn at a cold worker for what it needs

Who has a turn may send one job of up to twice the mean work, while the number of turns is reckoned in mean jobs. After a mix, when the short ones have gone and long ones alone wait, as in an overload, where the best worth for the slot time goes first, all turns are used for those. The line at fault: coldSlice's `return 2 * job`. Slices (few dispatchers) are of work and were right.

Change: the larger a job, the fewer places may send it, so that a turn's jobs of any one size stay within its half of the budget; the first place still sends one of up to twice the mean.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -640,8 +640,8 @@
 // counts: a slice of the multiple of its least capacity, little of it while an earlier process
 // of this dispatcher may have sent too. Danger: among hundreds that is below a job and none
 // sends. Then whole jobs are dealt out by turns, one each. Any span touches two turns, and
-// after a quiet time all come to use theirs at once, so a turn has half of the budget, or one
-// job. May hurt where few have jobs to send.
+// after a quiet time all come to use theirs at once, maybe with long jobs alone: so a turn has
+// half of the budget, or one job, and fewer may send a longer one. May hurt where few have jobs.
 func (b *Balancer) coldSlice(w *worker) (slice, since float64) {
 	c := &b.cfg
 	if b.warm(w) == 1 || c.FallMultiple == 0 || c.FallSpan == 0 {
@@ -662,7 +662,7 @@
 	if place > 0 && 2*(place+1)*job > budget || w.spentAt >= since {
 		return 0, b.now
 	}
-	return 2 * job, since
+	return min(2*job, max(2*job, budget/2)/(place+1)), since
 }
 
 func (b *Balancer) coldAllows(w *worker, j *job) bool {
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -345,7 +345,8 @@
 // coldPress is dispatchers that send as much as they may to one cold worker, which takes all; jobs are alike.
 type coldPress struct {
 	t          *testing.T
-	job, slots float64
+	job, slots float64 // work of the mean job, and slots of a worker
+	own        float64 // work of those that come
 	all        []*rig
 	due        []map[int][]Event // by step
 	step       int
@@ -358,7 +359,7 @@
 
 // press has n dispatchers that know of a warm worker's size and how long jobs run.
 func press(t *testing.T, n int, slots, job, started float64) *coldPress {
-	p := &coldPress{t: t, job: job, slots: slots, cold: WorkerInfo{ID: "cold", Zone: "here", State: Running, Started: started}}
+	p := &coldPress{t: t, job: job, own: job, slots: slots, cold: WorkerInfo{ID: "cold", Zone: "here", State: Running, Started: started}}
 	p.all, p.due = make([]*rig, n), make([]map[int][]Event, n)
 	for i := range n {
 		p.begin(i)
@@ -372,7 +373,7 @@
 	cfg := base()
 	cfg.Dispatchers, cfg.Index, cfg.Probes, cfg.Tenants[0].Quota = len(p.all), i, false, 1e5
 	cfg.ColdFrom, cfg.WarmAfter, cfg.FallMultiple, cfg.FallSpan = coldFrom, pressWarm, coldMultiple, coldSpan
-	cfg.Classes[0].Aim = p.job // what it is taken to need while that is not known
+	cfg.Classes[0].Aim = p.own // what it is taken to need while that is not known
 	b, err := New(cfg, uint64(i))
 	if err != nil {
 		p.t.Fatal(err)
@@ -380,7 +381,7 @@
 	b.most[""] = p.slots
 	for range 20 {
 		b.span.add(p.job)
-		b.classes["read"].run.add(p.job)
+		b.classes["read"].run.add(p.own)
 	}
 	p.all[i], p.due[i] = &rig{t: p.t, b: b, n: 1e6 * p.step}, map[int][]Event{}
 	p.all[i].at(p.now(), RosterUpdate{Kind: RosterSaved, Workers: list})
@@ -410,7 +411,7 @@
 				if s.Worker == p.cold.ID {
 					p.sent = append(p.sent, now)
 				}
-				begin, end := p.step+1, p.step+1+int(math.Round(p.job/pressTick))
+				begin, end := p.step+1, p.step+1+int(math.Round(p.own/pressTick))
 				p.due[i][begin] = append(p.due[i][begin], AttemptStarted{s.ID, 0})
 				p.due[i][end] = append(p.due[i][end], done(s, 0, Served))
 			}
@@ -420,7 +421,7 @@
 		}
 		if age := now - p.cold.Started; age > 0 {
 			part := min(1, coldFrom+(1-coldFrom)*age/pressWarm)
-			p.worst = max(p.worst, beyond(float64(len(p.sent)), coldMultiple*part*p.slots*coldSpan/p.job))
+			p.worst = max(p.worst, beyond(float64(len(p.sent))*p.own/p.job, coldMultiple*part*p.slots*coldSpan/p.job))
 		}
 	}
 }
@@ -457,6 +458,23 @@
 	}
 }
 
+// After a mix of jobs only long ones wait: they count for what they need.
+func TestTurnsOfLongJobs(t *testing.T) {
+	for _, n := range []int{30, 300} {
+		for _, slots := range []float64{2, 5, 16} {
+			p := press(t, n, slots, 1, 101)
+			p.own = 1.9
+			for i := range p.all {
+				p.begin(i)
+			}
+			p.play(p.cold.Started, 0, nil)
+			p.list(p.cold)
+			p.play(110, 2, nil)
+			p.check()
+		}
+	}
+}
+
 // A process that starts anew does not know what the one before it sent.
 func TestProcessesAnewSpareTheCold(t *testing.T) {
 	for _, n := range []int{3, 30} {
