--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 	idlePrior   = 2.0   // reports that the expectation of one free slot for each worker counts for
 	reportAge   = 0.3   // how old a report is taken to be that comes with an answer
 	askedAge    = 0.05  // the same of one that was asked for: workers renew it every few ms
-	coldSafety  = 0.8   // part of the cold budget that is used: sizes are only expected ones
+	coldSafety  = 0.8   // part of the cold budget that slices use: sizes are only expected ones
 	coldAnew    = 0.25  // part of its part that a new process uses for a span: an older one may have sent too
 	coldTurn    = 30.0  // how much a cold worker is preferred by who has its turn: no other sends there
 	memory      = 8.0   // how far back own sends are remembered
@@ -649,12 +649,12 @@
 	}
 	n, job := float64(c.Dispatchers), b.span.or(1, 1)*b.meanSlots.or(1, 1)
 	size := max(b.most[w.Kind], 1) / b.slowness(w) // in slots of a middling worker
-	budget := coldSafety * c.FallMultiple * b.warm(w) * size * c.FallSpan
+	budget := c.FallMultiple * b.warm(w) * size * c.FallSpan
 	if w.Started < b.born && b.now < b.born+c.FallSpan {
 		budget *= coldAnew
 	}
-	if w.dealt = budget < n*job; !w.dealt {
-		return budget / n, b.now - c.FallSpan
+	if w.dealt = coldSafety*budget < n*job; !w.dealt {
+		return coldSafety * budget / n, b.now - c.FallSpan
 	}
 	turn := math.Floor((b.now - w.Started) / c.FallSpan)
 	place := math.Mod(float64(c.Index)+w.lot+turn*math.Floor(n/math.Phi), n)
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -35,6 +35,7 @@
 	copies      bool    // a second attempt of a job may be out at once
 	turnsAway   bool    // one of the cold turns all away
 	renumbered  bool    // the dispatchers get other numbers after the cold ones start
+	noise       float64 // of the reports' figures: standard deviation over value
 	takenBack   bool    // operators leave the cold ones out, and take them back when they start
 }
 
@@ -125,7 +126,7 @@
 		for _, c := range w.queue {
 			waits += c.slots
 		}
-		return []float64{max(0, w.usable(now)-w.used), waits}
+		return []float64{max(0, w.usable(now)-w.used) * math.Exp(f.noise*rng.NormFloat64()), waits}
 	}
 	rides := func(w *coldWorker) []float64 {
 		if f.rides {
@@ -309,6 +310,7 @@
 		"restarts":         func(f *coldFleet) { f.restarts = 0.7 },
 		"one hangs":        func(f *coldFleet) { f.hangs = true },
 		"copies":           func(f *coldFleet) { f.hangs, f.copies = true, true },
+		"noisy reports":    func(f *coldFleet) { f.noise, f.rides = 0.2, true },
 		"one turns away":   func(f *coldFleet) { f.turnsAway = true },
 		"numbered anew":    func(f *coldFleet) { f.renumbered = true },
 		"taken back":       func(f *coldFleet) { f.late, f.inPlace, f.takenBack = 6, true, true },
