--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 	idlePrior   = 2.0   // reports that the expectation of one free slot for each worker counts for
 	reportAge   = 0.3   // how old a report is taken to be that comes with an answer
 	askedAge    = 0.05  // the same of one that was asked for: workers renew it every few ms
-	coldSafety  = 0.8   // part of the cold budget that is used: sizes are only expected ones
+	coldSafety  = 0.8   // part of the cold budget that slices use: sizes are only expected ones
 	coldAnew    = 0.25  // part of its part that a new process uses for a span: an older one may have sent too
 	coldTurn    = 30.0  // how much a cold worker is preferred by who has its turn: no other sends there
 	memory      = 8.0   // how far back own sends are remembered
@@ -642,8 +642,8 @@
 // counts: a slice of the multiple of its least capacity, little of it while an earlier process
 // of this dispatcher may have sent too. Danger: among hundreds that is below a job and none
 // sends. Then whole jobs are dealt out by turns, one each. Any span touches two turns, and
-// after a quiet time all come to use theirs at once, so a turn has half of the budget, or one
-// job. May hurt where few have jobs to send.
+// after a quiet time all come to use theirs at once, maybe with long jobs alone: so a turn has
+// half of the budget, or one job, and fewer may send a longer one. May hurt where few have jobs.
 func (b *Balancer) coldSlice(w *worker) (slice, since float64) {
 	c := &b.cfg
 	if b.warm(w) == 1 || c.FallMultiple == 0 || c.FallSpan == 0 {
@@ -651,12 +651,12 @@
 	}
 	n, job := float64(c.Dispatchers), b.span.or(1, 1)*b.meanSlots.or(1, 1)
 	size := max(b.most[w.Kind], 1) / b.slowness(w) // in slots of a middling worker
-	budget := coldSafety * c.FallMultiple * b.warm(w) * size * c.FallSpan
+	budget := c.FallMultiple * b.warm(w) * size * c.FallSpan
 	if w.Started < b.born && b.now < b.born+c.FallSpan {
 		budget *= coldAnew
 	}
-	if w.dealt = budget < n*job; !w.dealt {
-		return budget / n, b.now - c.FallSpan
+	if w.dealt = coldSafety*budget < n*job; !w.dealt {
+		return coldSafety * budget / n, b.now - c.FallSpan
 	}
 	turn := math.Floor((b.now - w.Started) / c.FallSpan)
 	place := math.Mod(float64(c.Index)+w.lot+turn*math.Floor(n/math.Phi), n)
@@ -664,7 +664,7 @@
 	if place > 0 && 2*(place+1)*job > budget || w.spentAt >= since {
 		return 0, b.now
 	}
-	return 2 * job, since
+	return min(2*job, max(2*job, budget/2)/(place+1)), since
 }
 
 func (b *Balancer) coldAllows(w *worker, j *job) bool {
