Test a held-up reader and an endless update on sockets

What is in the system's buffer when the program comes back is read before a watch counts as silent, once: red without the second look, route_test.go 'read 0, ... i/o timeout: what came while it was held up is lost'. An update that has begun and never ends, a byte each millisecond: red where each byte moves the deadline on, 'waited too long for the watch's end'.

--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -4,8 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -204,3 +209,54 @@
 		}
 	}
 }
+
+// A program that was held up past its deadline finds what came meanwhile; where nothing did, the time is over.
+func TestHeldUpReaderLooksOnceMore(t *testing.T) {
+	d := wiretest.NewTarget(t)
+	c, err := net.Dial("tcp", d.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: d\r\n\r\n")
+	wiretest.Get(t, d.Calls, "a call").Reply("\n")
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Read(func(fd uintptr) bool { // waits until the byte is there, and leaves it
+		n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+		return n == 1
+	})
+	l, p := &link{Conn: c}, make([]byte, 9)
+	l.expect(-time.Second)
+	if n, err := l.Read(p); n != 1 || err != nil {
+		t.Errorf("read %d, %v: what came while it was held up is lost", n, err)
+	}
+	l.expect(-time.Second)
+	for range 2 {
+		if n, err := l.Read(p); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read %d, %v, want the end of its time", n, err)
+		}
+	}
+	if !l.looked {
+		t.Error("it would look again and again")
+	}
+}
+
+// On sockets too: an update that has begun and never ends is given up, though bytes keep coming.
+func TestEndlessUpdateOnSockets(t *testing.T) {
+	defer func(old time.Duration) { silence = old }(silence)
+	silence = 100 * time.Millisecond
+	for _, part := range []string{"\n", "x", " "} {
+		d := wiretest.NewTarget(t)
+		end := make(chan error, 1)
+		go func() { end <- Watch(context.Background(), d.Addr, 0, func(*Update) {}) }()
+		call := wiretest.Get(t, d.Calls, "a watch")
+		call.Reply(wiretest.Lines(false, whole) + chunk(`{"seq":"`))
+		go dribble(call, time.Millisecond, chunk(part))
+		if err := wiretest.Get(t, end, "the watch's end"); !errors.Is(err, os.ErrDeadlineExceeded) && !strings.Contains(err.Error(), "invalid") {
+			t.Errorf("%q for ever: %v", part, err)
+		}
+	}
+}
