Give a class without a deadline its 60 s in a stop too

Cause: settings may leave hard_limit out, which ingress (reload.go) and the module (balance/config.go) take for 60 s; the loop's measure() took it for 0: a stop closed 0.45 s after the signal in place of 3.45 s, and ids were forgotten at once, so that one could run twice.

Change: settings.Lane.Deadline says it once for both.

Measured without it: stop_test.go:321 'answers [502] to one with time left', :324 'ids are remembered for 0 s'. Green with it.

--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -219,7 +219,7 @@
 func (d *Dispatcher) measure() {
 	longest := 0.0
 	for _, l := range d.Settings.Lanes {
-		longest = max(longest, l.HardLimit)
+		longest = max(longest, l.Deadline())
 	}
 	d.most = min(longest, drainMost) + drainPast
 	d.recent.span = max(d.recent.span, longest) // ids of longer jobs may be under way
--- a/internal/dispatcher/stop_test.go
+++ b/internal/dispatcher/stop_test.go
@@ -311,3 +311,16 @@
 		t.Errorf("%d looks at idle connections in 0.2 s", r.closed-looks)
 	}
 }
+
+// A class that names no deadline has 60 s, also for what a stop and the memory of ids go by.
+func TestStopWithoutDeadlines(t *testing.T) {
+	r := newRigOf(t, strings.NewReplacer(`"hard_limit":2,`, "", `"hard_limit":3,`, "").Replace(options), 1)
+	a := r.runs("a", "unsafe")
+	r.take(stop{r.clock()})
+	if r.pass(3400 * time.Millisecond); len(a.answers) > 0 {
+		t.Errorf("answers %v to one with time left", a.answers)
+	}
+	if r.recent.span != 60 {
+		t.Errorf("ids are remembered for %v s", r.recent.span)
+	}
+}
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -76,7 +76,7 @@
 func classes(s *settings.Settings) map[string]ingress.Class {
 	all := map[string]ingress.Class{}
 	for _, l := range s.Lanes {
-		all[l.Name] = ingress.Class{Keyed: l.Semantics == "keyed", Deadline: seconds(l.HardLimit, 60)}
+		all[l.Name] = ingress.Class{Keyed: l.Semantics == "keyed", Deadline: seconds(l.Deadline(), 0)}
 	}
 	return all
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,14 @@
 	RepeatWindow float64
 }
 
+// Deadline is the client's whole patience, in seconds: 60 where the settings name none, as for balance.Class.
+func (l Lane) Deadline() float64 {
+	if l.HardLimit <= 0 {
+		return 60
+	}
+	return l.HardLimit
+}
+
 // Party is one tenant.
 type Party struct {
 	Name   string
