Let a process end though its accept waits in the system on a shared socket

Its stacks: main in the deferred Close of the clients' listener (service.go:95, internal/poll FD.Close, semacquire), the accept loop in accept4, in the system, not in the poller. O_NONBLOCK belongs to the open file that all processes share, and os/exec clears it (File.Fd) when one more is started with it; the new process sets it again, but an accept that begins between the two waits in the system, heeds no deadline, and has Close wait until a client happens to come to the old process. Ruled out: the folder's lock (no goroutine there), children left over, the log's pipe. SO_RCVTIMEO on the listener was tried: it does not reach accept on a socket of MPTCP, which net.Listen makes.

The listener is not closed any more: the process ends right behind, and that closes it.

TestEndsOnSocketThatWaits makes the socket wait by a stated call and is red without it at upgrade_test.go:406 'waited too long for the end'; green with it, under -race as well.

--- a/cmd/bellstream/upgrade_test.go
+++ b/cmd/bellstream/upgrade_test.go
@@ -376,6 +376,38 @@
 	}
 }
 
+// Who starts one more process on the clients' socket may make it one that waits, in the processes that
+// have it as well, as os/exec does. One that accepts from it then still comes to its end.
+func TestEndsOnSocketThatWaits(t *testing.T) {
+	target, discovery := wiretest.NewTarget(t), wiretest.NewTarget(t)
+	s := newSite(t, fmt.Sprintf(config, discovery.Addr, target.Addr))
+	p := s.start()
+	p.ready(t)
+	f, err := s.l.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := syscall.SetNonblock(int(f.Fd()), false); err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, s.l.Addr().String()) // the next accept waits in the system
+	if got := asked(t, c); got != 200 {
+		t.Errorf("health %d", got)
+	}
+	c.Close()
+	p.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() {
+		for range p.log {
+		}
+		ended <- p.Wait()
+	}()
+	if err := wiretest.Get(t, ended, "the end"); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 // A descriptor that is no listening TCP socket stops the start, by its name.
 func TestBadDescriptors(t *testing.T) {
 	file, err := os.Create(filepath.Join(t.TempDir(), "file"))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -92,7 +92,9 @@
 	if err != nil {
 		return err
 	}
-	defer l.Close()
+	// Nobody closes it: the end of the process does. Whether calls on an inherited socket may wait is one
+	// word for all who hold it, and who starts one more process may let them. An accept that waits in
+	// the system heeds no deadline, and Close would wait for it for ever.
 	server := ingress.NewServer(classes(s), d, o.Phases, in, logf)
 	server.Waits = o.Waiting != nil
 	r := &running{config: config, conf: conf, server: server, pool: pool, loop: d, phases: o.Phases, logf: logf, sharers: 1}
