--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -125,6 +126,7 @@
 	watch   context.CancelFunc
 	watchNo int
 	asking  bool              // the watch has neither told anything nor ended
+	down    bool              // it has ended, or none was asked for yet
 	askedAt float64           // when it was asked for
 	askNext *wheel.Timer[any] // where changes count as pushed
 	spread  *rand.Rand        // of calls: watches of many dispatchers end together
@@ -145,7 +147,10 @@
 	most     float64           // how long it may take
 	steps    uint64
 	tenants  map[string]bool // those of the settings
+	reads    []string        // what the values of a report mean by them
 	seldom   *logging.Limited
+	basis    basis // of lanes
+	lanes    map[string]settings.Lane
 }
 
 // held is a request from its arrival until it is answered and no hop of it is out.
@@ -191,6 +196,11 @@
 		host string
 		news egress.News
 	}
+	// reported is hopNews or probeNews of what was asked for with these report fields.
+	reported struct {
+		by   []string
+		news any
+	}
 	routeNews struct {
 		watch int
 		up    *route.Update // nil: the watch ended
@@ -219,7 +229,7 @@
 	}
 	d := &Dispatcher{Options: o, coldPart: 1, base: o.Now(), round: o.Settings.Round,
 		posts: make(chan any, queue), nudges: make(chan struct{}, 1), done: make(chan struct{}),
-		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {},
+		table: route.NewTable(), held: map[string]*held{}, last: math.Inf(-1), watch: func() {}, down: true,
 		spread: rand.New(rand.NewPCG(o.Seed, 0)), seldom: logging.NewLimited(time.Minute, o.Now)}
 	bal, err := balance.New(d.config(), o.Seed)
 	if err != nil {
@@ -241,6 +251,8 @@
 		r := u.Roster()
 		r.Kind = balance.RosterSaved
 		d.events = append(d.events, r)
+	} else {
+		d.events = append(d.events, balance.TimerFired{}) // a first step, in which the module asks
 	}
 	d.name()
 	return d, nil
@@ -460,6 +472,8 @@
 		d.hop(p)
 	case probeNews:
 		d.events = append(d.events, balance.ProbeDone{Worker: p.host, Outcome: p.news.Outcome, Report: p.news.Report})
+	case reported:
+		d.reported(p)
 	case routeNews:
 		d.route(p)
 	case limits:
@@ -516,12 +530,10 @@
 		(*d.noteIDs)([]string{strings.Clone(r.ID)})
 	}
 	h := &held{req: r, deadline: d.at(r.Arrived.Add(r.Timeout)), once: true}
-	for _, l := range d.ruled().Lanes {
-		if l.Name == r.Class {
-			h.once = l.Semantics != string(balance.Safe)
-			if l.Semantics == string(balance.Keyed) {
-				h.window = l.RepeatWindow
-			}
+	if l, ok := d.lane(r.Class); ok {
+		h.once = l.Semantics != string(balance.Safe)
+		if l.Semantics == string(balance.Keyed) {
+			h.window = l.RepeatWindow
 		}
 	}
 	if !d.admit(h) {
@@ -557,6 +569,24 @@
 	}
 }
 
+// reported takes news that may bring a load report. Its values are in the order of the fields by which it
+// was asked for: where a reload has others by now, it would be read as something else, and counts as none.
+func (d *Dispatcher) reported(p reported) {
+	stale := !slices.Equal(p.by, d.reads)
+	switch n := p.news.(type) {
+	case hopNews:
+		if stale {
+			n.news.Report = nil
+		}
+		d.take(n)
+	case probeNews:
+		if stale {
+			n.news.Report = nil
+		}
+		d.take(n)
+	}
+}
+
 // hop takes news of an attempt. News that comes after the attempt was ended
 // from here finds no hop and is dropped.
 func (d *Dispatcher) hop(p hopNews) {
@@ -568,7 +598,8 @@
 		return
 	}
 	p.h.hops[p.n] = nil
-	if p.h.req.Left() { // its leave is on its way here: what the module hears of this attempt must not bring on another
+	if p.h.req.Left() && p.news.Outcome != balance.Served {
+		// Its leave is on its way here: what the module hears of this attempt must not bring on another.
 		d.gone(p.h)
 	}
 	if p.news.Outcome == balance.Served {
@@ -670,7 +701,8 @@
 			d.events = append(d.events, balance.ProbeDone{Worker: host, Outcome: balance.Unreachable})
 			return
 		}
-		d.Egress.Probe(addr, d.fields(), func(n egress.News) { d.post(probeNews{host, n}) })
+		reads := d.reads
+		d.Egress.Probe(addr, d.fields(), func(n egress.News) { d.post(reported{reads, probeNews{host, n}}) })
 	case balance.SetTimer:
 		d.wheel.Set(now+a.After, wake{})
 	case balance.Subscribe:
@@ -719,7 +751,7 @@
 		until = min(until, h.ran+h.window)
 	}
 	h.sent = d.last
-	by := d.ruling
+	by, reads := d.ruling, d.reads
 	o := &egress.Order{ID: h.req.ID, Method: h.req.Method, URI: h.req.URI, IdempotencyKey: h.req.IdempotencyKey,
 		Body: h.req.Body, Deadline: d.time(h.deadline), Until: d.time(until), Fields: d.fields(), Once: h.once,
 		Barred: func() balance.Outcome {
@@ -728,7 +760,9 @@
 			}
 			return d.barred(a.Worker, n > 0, by)
 		}}
-	h.hops = append(h.hops, d.Egress.Start(o, way.Addr, func(news egress.News) { d.post(hopNews{h, n, a.Worker, news}) }))
+	h.hops = append(h.hops, d.Egress.Start(o, way.Addr, func(news egress.News) {
+		d.post(reported{reads, hopNews{h, n, a.Worker, news}})
+	}))
 }
 
 // subscribe starts a watch, in place of one that may still be open.
@@ -738,7 +772,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.watch = cancel
 	d.watchNo++
-	d.asking, d.askedAt = true, d.clock()
+	d.asking, d.down, d.askedAt = true, false, d.clock()
 	no, seq, discovery := d.watchNo, d.table.Seq, d.Discovery
 	go func() {
 		err := d.Watch(ctx, discovery, seq, func(u *route.Update) { d.post(routeNews{watch: no, up: u}) })
@@ -751,16 +785,13 @@
 	if p.watch != d.watchNo {
 		return // of a watch that was replaced
 	}
-	d.asking = false
-	if p.up == nil {
+	d.asking, d.down = false, p.up == nil
+	if d.down {
 		if !errors.Is(p.err, context.Canceled) {
 			d.Log("discovery watch ended: %v", p.err)
 		}
 		d.events = append(d.events, balance.RosterUpdate{Kind: balance.RosterFailed})
-		if !d.asked() {
-			now := d.clock()
-			d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
-		}
+		d.keep()
 		return
 	}
 	for _, addr := range d.table.Apply(p.up, d.clock()) {
@@ -771,6 +802,14 @@
 	d.name()
 }
 
+// keep has a watch that is down asked for again, unless the module does that.
+func (d *Dispatcher) keep() {
+	if d.askNext.Stop(); d.down && !d.asked() {
+		now := d.clock()
+		d.askNext = d.wheel.Set(now+balance.AskAgain(now-d.askedAt, d.spread.Float64()), again{})
+	}
+}
+
 // finished moves the phases on and says whether the loop is over.
 func (d *Dispatcher) finished(now float64) bool {
 	p := d.Phases
--- /dev/null
+++ b/internal/dispatcher/reload_test.go
@@ -0,0 +1,90 @@
+package dispatcher
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/egress"
+	"example.org/bellstream/internal/route"
+	"example.org/bellstream/internal/settings"
+	"example.org/bellstream/internal/wiretest"
+)
+
+// reload puts other settings into force: the rig's own with replacements.
+func (r *rig) reload(oldnew ...string) {
+	r.t.Helper()
+	s, err := settings.Parse([]byte(strings.NewReplacer(oldnew...).Replace(options)))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.take(retuned{s})
+	r.pass(4 * time.Millisecond)
+}
+
+// Who keeps the watch open changes with the settings. Whatever it stands at then, one is open soon
+// behind a change, and is asked for again when it ends.
+func TestWhoAsksChanges(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		r := newRig(t)
+		wiretest.Get(t, r.watches, "the module's watch")
+		r.take(routeNews{watch: r.watchNo, up: &route.Update{Seq: 1}})
+		for _, mode := range []string{"pushed", "on_request", "pushed"} {
+			if ended {
+				r.take(routeNews{watch: r.watchNo, err: context.DeadlineExceeded})
+				r.pass(4 * time.Millisecond)
+			}
+			no := r.watchNo
+			r.reload("on_request", mode)
+			if r.pass(4 * time.Second); ended == (r.watchNo == no) || len(r.watches) > 1 {
+				t.Fatalf("%s, with the watch ended %v: asked %d times", mode, ended, r.watchNo-no)
+			}
+			if ended {
+				wiretest.Get(t, r.watches, mode+": a watch")
+			}
+			r.take(routeNews{watch: r.watchNo, up: &route.Update{Seq: 1}})
+		}
+	}
+}
+
+// A report that was asked for by the fields before a reload has its values in their order: behind the
+// reload it would be read as something else.
+func TestReportOverAReload(t *testing.T) {
+	for _, c := range []struct {
+		fields string
+		counts bool
+	}{{`["x0"]`, true}, {`["waiting"]`, false}, {`["waiting","x0"]`, false}} {
+		r := newRig(t)
+		j := r.runs("a", "safe")
+		r.act(r.clock(), balance.Probe{Worker: "a"})
+		s, err := settings.Parse([]byte(strings.Replace(options, `["x0"]`, c.fields, 1)))
+		if err != nil || len(r.probes) == 0 || j.out == nil {
+			t.Fatalf("%v, %d probes, out %v", err, len(r.probes), j.out != nil)
+		}
+		r.take(retuned{s})
+		r.events = nil
+		r.probes[0](egress.News{Outcome: balance.Served, Report: []float64{3}})
+		j.out.tell(egress.News{Outcome: balance.Errored, Report: []float64{3}})
+		r.drain()
+		seen := 0
+		for _, e := range r.events {
+			var report []float64
+			switch e := e.(type) {
+			case balance.ProbeDone:
+				report = e.Report
+			case balance.AttemptDone:
+				report = e.Report
+			default:
+				continue
+			}
+			if seen++; (report != nil) != c.counts {
+				t.Errorf("fields %s behind [x0]: %T told of %v", c.fields, e, report)
+			}
+		}
+		if seen != 2 {
+			t.Errorf("%d ends of a probe and an attempt", seen)
+		}
+	}
+}
--- a/internal/ingress/crossing_test.go
+++ b/internal/ingress/crossing_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,8 +15,8 @@
 	"example.org/bellstream/internal/wiretest"
 )
 
-// listen is start over the loopback.
-func listen(t *testing.T, most int) (*Server, *desk, net.Addr) {
+// listen is start over the loopback, for a server that is prepared by the test.
+func listen(t *testing.T, most int, prepare ...func(*Server)) (*Server, *desk, net.Addr) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -24,11 +25,17 @@
 	d := &desk{arrivals: make(chan *Request, 64), leaves: make(chan *Request, 64)}
 	s := NewServer(classes, d, d, most, t.Logf)
 	s.slowest = time.Hour // a test on a busy machine is no slow client
+	for _, f := range prepare {
+		f(s)
+	}
 	go s.Serve(l)
 	t.Cleanup(func() { l.Close() })
 	return s, d, l.Addr()
 }
 
+// hasty has a new connection make room at once.
+func hasty(s *Server) { s.fresh = 0 }
+
 // A client that has sent on behind its request and goes has left all the same,
 // however much it sent, whenever that came, and whichever way it goes. Nothing
 // of what stands behind is taken.
@@ -179,8 +186,7 @@
 		}, []int{200, 400}},
 	} {
 		t.Run(way.name, func(t *testing.T) {
-			s, d, addr := listen(t, 16) // and one that is turned away
-			s.fresh = 0
+			s, d, addr := listen(t, 16, hasty) // and one that is turned away
 			for range 15 {
 				io.WriteString(wiretest.DialTCP(t, addr), job("held"))
 				wiretest.Get(t, d.arrivals, "an arrival")
@@ -212,8 +218,7 @@
 // Clients that rest, and don't mind that their connections are ended, hold no
 // descriptors for long: each of many new ones gets a seat.
 func TestClientsThatStayAreCut(t *testing.T) {
-	s, d, addr := listen(t, 2)
-	s.fresh = 0
+	s, d, addr := listen(t, 2, hasty)
 	for range 20 {
 		c := wiretest.DialTCP(t, addr) // stays to the test's end
 		io.WriteString(c, job("1"))
@@ -224,6 +229,65 @@
 			t.Errorf("%d connections, want 2 and one that ends", open)
 		}
 	}
+	s.CloseIdle(0)
+	wiretest.Until(t, "the end of all connections", func() bool { return s.Open() == 0 })
+}
+
+// A client may send on, much or slowly, though its request was turned away, and
+// look at its answer only once it can send no more.
+func TestTurnedAwayThoughItSendsOn(t *testing.T) {
+	for _, way := range []struct {
+		raw  string
+		more string
+		want int
+	}{
+		{"nonsense\r\n\r\n", "x", 400},
+		{"POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nContent-Length: 100000000\r\n\r\n", strings.Repeat("x", maxBody), 413},
+	} {
+		s, _, addr := listen(t, 8)
+		c := wiretest.DialTCP(t, addr)
+		io.WriteString(c, way.raw)
+		for {
+			if _, err := io.WriteString(c, way.more); err != nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if got, _ := c.Status(t); got != way.want {
+			t.Errorf("got %d, want %d", got, way.want)
+		}
+		wiretest.Until(t, "the connection's end", func() bool { return s.Open() == 0 })
+	}
+}
+
+// writes counts what is written apart.
+type writes struct{ n int }
+
+func (w *writes) Write(b []byte) (int, error) { w.n++; return len(b), nil }
+
+// Nothing of an answer may be held back by the system and go with a connection
+// that is reset: it is one write, which leaves at once.
+func TestAnswerLeavesAtOnce(t *testing.T) {
+	var w writes
+	if write(&w, Answer{Status: 200, Body: make([]byte, maxBody)}, true, false); w.n != 1 {
+		t.Errorf("%d writes", w.n)
+	}
+	s, d, addr := listen(t, 8)
+	io.WriteString(wiretest.DialTCP(t, addr), job("1"))
+	wiretest.Get(t, d.arrivals, "an arrival")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Control(func(fd uintptr) {
+			if on, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); on == 0 || err != nil {
+				t.Errorf("TCP_NODELAY is %d (%v)", on, err)
+			}
+		})
+	}
 }
 
 // stepped is a listener whose connections call the test between two lines.
@@ -378,8 +442,7 @@
 // The desk may be busy when a request comes: that its client has gone, right
 // behind its last byte or later, stands on the request all the same.
 func TestLeavesWhileTheDeskIsBusy(t *testing.T) {
-	s, d, addr := listen(t, 8)
-	s.desk = busy{d}
+	_, d, addr := listen(t, 8, func(s *Server) { s.desk = busy{s.desk.(*desk)} })
 	c := wiretest.DialTCP(t, addr)
 	io.WriteString(c, job("1"))
 	c.Close()
