Shut a server that yields without waiting for its listener's Close

Close has a goroutine of its own there now, and Ended waits for Serve as before. TestShutDoesNotWaitForClose is red without it at shut_test.go:184 'waited too long for Shut, while Close waits'; ten repeats under -race clean.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -140,7 +140,7 @@
 		return
 	}
 	if s.l != nil {
-		s.l.Close()
+		go s.l.Close() // it waits for an Accept that waits in the system, as one on a shared socket may
 	}
 }
 
--- a/internal/ingress/shut_test.go
+++ b/internal/ingress/shut_test.go
@@ -157,3 +157,34 @@
 	s.CloseIdle(0)
 	rest.Ended(t)
 }
+
+// closing is a listener whose Close waits, as it does for an Accept that waits in the system.
+type closing struct {
+	net.Listener
+	asked, goes chan struct{}
+}
+
+func (l *closing) Close() error {
+	close(l.asked)
+	<-l.goes
+	return l.Listener.Close()
+}
+
+// Whoever shuts a server that yields does not wait for its listener: it is the loop.
+func TestShutDoesNotWaitForClose(t *testing.T) {
+	l := &closing{wiretest.NewListener(), make(chan struct{}), make(chan struct{})}
+	d := &desk{}
+	s := NewServer(classes, d, d, 8, t.Logf)
+	go s.Serve(l)
+	wiretest.Until(t, "Serve", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.serves })
+	s.Hold(true)
+	done := make(chan struct{})
+	go func() { s.Shut(); close(done) }()
+	wiretest.Get(t, l.asked, "the listener to be closed")
+	wiretest.Get(t, done, "Shut, while Close waits")
+	if s.Ended() {
+		t.Error("ended while Accept waits")
+	}
+	close(l.goes)
+	wiretest.Until(t, "the end", s.Ended)
+}
