Send nothing to cold workers on next to no budget, whoever has the first turn

With turns of half the budget the first place always had one job, also where the budget holds none: a process that yields to a newer one of its dispatcher is told of a billionth of it so that it sends nothing there (coldNone). The line at fault: coldSlice, `place > 0 && 2*(place+1)*job > budget`.

Change: the first place has its job where the budget holds one.

TestNextToNoBudgetSendsNothing is red without it at cold_test.go:493 '1 dispatchers: 0.07 of what the cold worker bears, want none', with 3 and 30 as well. Also looked at: half of the budget and of a job in place of the first place's rule; TestColdJobsAreDealtOut, which allows N without chance, is red with that (7 jobs of 6).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -636,12 +636,12 @@
 	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(age, 0)/b.cfg.WarmAfter
 }
 
-// coldSlice is the work that may go to a cold worker within FallSpan, and since when it
-// counts: a slice of the multiple of its least capacity, little of it while an earlier process
-// of this dispatcher may have sent too. Danger: among hundreds that is below a job and none
-// sends. Then whole jobs are dealt out by turns, one each. Any span touches two turns, and
-// after a quiet time all come to use theirs at once, maybe with long jobs alone: so a turn has
-// half of the budget, or one job, and fewer may send a longer one. May hurt where few have jobs.
+// coldSlice is the work that may go to a cold worker within FallSpan, and since when it counts: a
+// slice of the multiple of its least capacity, little while an earlier process of this dispatcher
+// may have sent too. Danger: among hundreds that is below a job and none sends. Then whole jobs are
+// dealt out by turns, one each. Any span touches two turns, and after a quiet time all come to use
+// theirs at once, maybe with long jobs alone: so a turn has half of the budget (one job if it holds
+// that), and fewer may send a longer one. May hurt where few have jobs to send.
 func (b *Balancer) coldSlice(w *worker) (slice, since float64) {
 	c := &b.cfg
 	if b.warm(w) == 1 || c.FallMultiple == 0 || c.FallSpan == 0 {
@@ -659,7 +659,7 @@
 	turn := math.Floor((b.now - w.Started) / c.FallSpan)
 	place := math.Mod(float64(c.Index)+w.lot+turn*math.Floor(n/math.Phi), n)
 	since = w.Started + turn*c.FallSpan
-	if place > 0 && 2*(place+1)*job > budget || w.spentAt >= since {
+	if budget < job || place > 0 && 2*(place+1)*job > budget || w.spentAt >= since {
 		return 0, b.now
 	}
 	return min(2*job, max(2*job, budget/2)/(place+1)), since
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -477,6 +477,24 @@
 	}
 }
 
+// A process that yields to a newer one of its dispatcher is told of next to no budget: it sends nothing
+// to the cold, whoever has the first turn.
+func TestNextToNoBudgetSendsNothing(t *testing.T) {
+	for _, n := range []int{1, 3, 30} {
+		p := press(t, n, 5, 1, 101)
+		for _, r := range p.all {
+			cfg := r.b.cfg
+			cfg.FallMultiple *= 1e-9
+			r.step(Retune{Config: cfg})
+		}
+		p.play(p.cold.Started, 0, nil)
+		p.list(p.cold)
+		if p.play(108, 2, nil); p.worst > 0 {
+			t.Errorf("%d dispatchers: %.2f of what the cold worker bears, want none", n, p.worst)
+		}
+	}
+}
+
 // A process that starts anew does not know what the one before it sent.
 func TestProcessesAnewSpareTheCold(t *testing.T) {
 	for _, n := range []int{3, 30} {
