Keep the machine's speed out of the test of the folder's lock for good

Seen: 1 of 20 under -race at a load of 97, dir_test.go:214 'ten more commands waited 104999 times for the lock': writing files took over the second after which a command may wait again. The test now holds that second open itself, and checks that the first wait was noted. 3 repeats under -race.

--- a/internal/handover/dir/dir_test.go
+++ b/internal/handover/dir/dir_test.go
@@ -207,13 +207,17 @@
 	naps := 0
 	nap = func(time.Duration) { naps++ }
 	defer func() { nap = time.Sleep }()
+	if m.stuck.IsZero() {
+		t.Error("it is not known that the lock was waited for")
+	}
 	for n := range 10 {
+		m.stuck = time.Now().Add(time.Minute) // however long this machine takes to write files
 		m.Change(out(fmt.Sprint(n)), none)
 	}
 	if naps > 0 {
 		t.Errorf("ten more commands waited %d times for the lock", naps)
 	}
-	nap = time.Sleep
+	nap, m.stuck = time.Sleep, time.Time{}
 	if _, err := Join(r.path, r.log); err == nil {
 		t.Error("a process has entered without the lock")
 	}
