--- a/internal/dispatcher/operate.go
+++ b/internal/dispatcher/operate.go
@@ -207,6 +207,7 @@
 func (d *Dispatcher) retune(s *settings.Settings) {
 	d.Settings, d.round, d.unfit = s, s.Round, nil
 	d.measure()
+	d.wheel.Retick(fineTick(s.Rules.GraceToAnswer), d.clock())
 	if d.Phases.Now() >= Retiring { // SIGKILL's time stands since the stop: a reload brings the end nearer at most
 		d.until = min(d.until, d.ended+d.most)
 	}
@@ -218,7 +219,7 @@
 func (d *Dispatcher) measure() {
 	longest := 0.0
 	for _, l := range d.Settings.Lanes {
-		longest = max(longest, l.HardLimit)
+		longest = max(longest, l.Deadline())
 	}
 	d.most = min(longest, drainMost) + drainPast
 	d.recent.span = max(d.recent.span, longest) // ids of longer jobs may be under way
