--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -385,7 +385,7 @@
 	}
 	if s.Reporting.How != "silent" && s.Reporting.How != "" && !free {
 		list = append(list, "settings: no report field gives free slots (family_info.report_x0 or report_x1): "+
-			"every worker counts for one slot, and most of the fleet may stand idle")
+			"every worker counts for one job at a time until it starts, and most of the fleet may stand idle")
 	}
 	return list
 }
