--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -51,11 +53,12 @@
 type Listener struct {
 	conns chan net.Conn
 	done  chan struct{}
+	once  sync.Once
 }
 
 // NewListener returns an open listener.
 func NewListener() *Listener {
-	return &Listener{make(chan net.Conn), make(chan struct{})}
+	return &Listener{conns: make(chan net.Conn), done: make(chan struct{})}
 }
 
 // Accept returns the server's end of the next Dial.
@@ -69,7 +72,10 @@
 }
 
 // Close ends Accept.
-func (l *Listener) Close() error { close(l.done); return nil }
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
 
 // Addr is not used.
 func (l *Listener) Addr() net.Addr { return &net.TCPAddr{} }
@@ -189,3 +195,31 @@
 	c.SetDeadline(time.Now().Add(patience))
 	return &Client{c, bufio.NewReader(c)}
 }
+
+// Stalled is the address of a server at which connections come up only when it has accepted
+// those before, which it does not do until the test is over.
+func Stalled(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	c, err := net.Dial("tcp", addr) // a backlog of 0 holds one
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return addr
+}
