--- a/internal/dispatcher/raceon_test.go
+++ b/internal/dispatcher/raceon_test.go
@@ -3,5 +3,5 @@
 package dispatcher
 
 // raced says that the race detector runs. Its runtime breaks down ('CHECK failed: tsan_rtl.cpp')
-// under hundreds of dispatchers in one bubble after another, so there are fewer of them there.
+// under many dispatchers in one bubble after another, so there are few of them there.
 const raced = true
