Serve the backlog until it is empty, not for 20 ms, when the server stops

Callers: a client that had connected and sent got "connection reset by peer" and no answer when the machine did not run the dispatcher as it closed its listener.

Cause: StopAccepting set a deadline of 20 ms, and Serve closed the listener at the timeout. After its deadline Accept returns the timeout without a look at the backlog, and closing resets what waits there.

Change: after a stop Serve asks the kernel (poll) whether the backlog holds a connection and closes the listener when it does not. A deadline bounds a single Accept only, as another process may empty a shared backlog first. The loop's own end bounds a crowd that never ends. Looked at and right: Pause and a stop while paused leave the backlog to the process that leads.

--- a/internal/downstream/accept.go
+++ b/internal/downstream/accept.go
@@ -6,9 +6,11 @@
 	"net"
 	"os"
 	"time"
+
+	"example.org/bellstream/internal/connstate"
 )
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed, or StopAccepting is called and the backlog is empty.
 func (s *Server) Serve(l net.Listener) error {
 	s.beginServing(l)
 	defer s.endServing()
@@ -23,17 +25,18 @@
 			<-paused
 			continue
 		}
+		if stopped && !s.prepareBacklogAccept(l) {
+			l.Close()
+			return nil
+		}
 		socket, err := l.Accept()
 		switch {
 		case err == nil:
 			s.start(socket)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case isTimeout(err) && stopped:
-			l.Close()
-			return nil
 		case isTimeout(err):
-			// Pause interrupted Accept.
+			// Pause or StopAccepting interrupted Accept, or another process emptied the backlog.
 		default:
 			// Running out of descriptors must not end the server: open connections are still served, and
 			// closing an idle connection frees a descriptor for the next Accept.
@@ -49,14 +52,25 @@
 	}
 }
 
+// prepareBacklogAccept reports whether a connection waits in the listener's backlog that this process has to accept
+// after StopAccepting. If so, it lets the next Accept take it. The deadline says nothing about the backlog, which
+// the next call inspects again.
+func (s *Server) prepareBacklogAccept(l net.Listener) bool {
+	s.mu.Lock()
+	yielded := s.yielded
+	s.mu.Unlock()
+	interruptible, ok := l.(deadlineSetter)
+	if yielded || !ok || !connstate.HasBacklog(l) {
+		return false
+	}
+	return interruptible.SetDeadline(time.Now().Add(backlogAccept)) == nil
+}
+
 func (s *Server) beginServing(l net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listener = l
 	s.serving = true
-	if s.stopped {
-		l.Close()
-	}
 }
 
 func (s *Server) endServing() {
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -18,7 +18,7 @@
 	capacityPoll       = 5 * time.Millisecond   // between checks whether a connection can be accepted
 	lingerTimeout      = 200 * time.Millisecond // for the client to close its side of a connection that we close
 	lingerMinimum      = 20 * time.Millisecond  // before a lingering connection may be closed to free its descriptor
-	acceptDrain        = 20 * time.Millisecond  // for accepting the backlog when the server stops
+	backlogAccept      = 5 * time.Millisecond   // for one Accept from the backlog, which another process may empty
 	logInterval        = time.Second            // minimum time between log lines about failed accepts
 
 	spareDivisor = 16 // maxConns/spareDivisor more connections are accepted, to answer them with 503
@@ -59,6 +59,7 @@
 	paused   chan struct{} // closed when accepting resumes; nil while not paused
 	serving  bool          // Serve is running
 	stopped  bool
+	yielded  bool         // stopped while paused: another process accepts the backlog
 	inFlight atomic.Int64 // requests read whose answer is not written yet
 }
 
@@ -141,9 +142,9 @@
 	}
 }
 
-// StopAccepting makes Serve accept the connections in the backlog, then close the listener and return. While
-// paused it closes the listener without accepting, as another process accepts the backlog. It does not block;
-// Drained reports when the server has finished.
+// StopAccepting makes Serve accept connections until the backlog is empty, then close the listener and return.
+// While paused it closes the listener without accepting, as another process accepts the backlog. It does not
+// block; Drained reports when the server has finished.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,10 +155,11 @@
 	l, ok := s.listener.(deadlineSetter)
 	switch {
 	case s.paused != nil:
+		s.yielded = true
 		close(s.paused)
 		s.paused = nil
 	case ok:
-		l.SetDeadline(time.Now().Add(acceptDrain)) //nolint:errcheck // if the listener is closed, Accept returns anyway
+		l.SetDeadline(expired) //nolint:errcheck // if the listener is closed, Accept returns anyway
 		return
 	}
 	if s.listener != nil {
--- a/internal/downstream/shut_test.go
+++ b/internal/downstream/shut_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"example.org/bellstream/internal/lab/wiretest"
 )
@@ -69,6 +70,45 @@
 	}
 }
 
+// suspendedListener is a listener of a process that does not run until the first deadlines it sets are over.
+type suspendedListener struct {
+	*net.TCPListener
+	suspensions atomic.Int32
+}
+
+func (l *suspendedListener) SetDeadline(deadline time.Time) error {
+	if l.suspensions.Add(-1) >= 0 {
+		deadline = expired
+	}
+	return l.TCPListener.SetDeadline(deadline)
+}
+
+// A client in the backlog is served, not reset, even if the process is suspended while it stops accepting.
+func TestBacklogIsServedAfterSuspension(t *testing.T) {
+	d := &fakeHandler{arrivals: make(chan *Request, 64), disconnects: make(chan *Request, 64)}
+	d.ending.Store(true)
+	s := NewServer(classes, d, d, 16, t.Logf)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &suspendedListener{TCPListener: tcp.(*net.TCPListener)}
+	l.suspensions.Store(3)
+	clients := []*wiretest.Client{wiretest.DialTCP(t, l.Addr()), wiretest.DialTCP(t, l.Addr())}
+	s.listener = l
+	s.StopAccepting() // before Serve accepts the first
+	go s.Serve(l)
+	for n, c := range clients {
+		io.WriteString(c, job(fmt.Sprint(n)))
+		wiretest.Get(t, d.arrivals, "the request of a client in the backlog").Answer(Answer{Status: 503})
+		if got, _ := c.Status(t); got != 503 {
+			t.Errorf("client %d in the backlog: got status %d, want 503", n, got)
+		}
+		c.Close()
+	}
+	wiretest.Until(t, "the server to drain", s.Drained)
+}
+
 // slowAcceptListener is a listener whose Accept has a connection but does not return until release is closed.
 type slowAcceptListener struct {
 	net.Listener
