Count only time that the process runs for the last answers of a stop

Callers: a reset in place of an answer, when the program is suspended or not run for 0.1 s after it has begun to close.

Cause: the loop ended 0.1 s of the clock after Closing began, whether or not the last connections were served, and finish waited 50 ms of the clock for answers that are being written; a process that is not run meanwhile leaves them no time.

Change: Closing lasts until all is served, at most until 0.1 s after the end of the drain, of which only time counts in which the process ran (at most 10 ms between two turns, which are 5 ms apart). finish counts its polls.

The other tests of the package pass unchanged.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -203,7 +203,7 @@
 		now := d.clock()
 		d.runTurn(now)
 		if d.advancePhase(now) {
-			d.finish(now)
+			d.finish()
 			return
 		}
 		timer.Reset(time.Duration((d.nextWakeAt() - d.clock()) * float64(time.Second)))
--- a/internal/dispatcher/shutdown.go
+++ b/internal/dispatcher/shutdown.go
@@ -18,6 +18,9 @@
 	retiringShare      = 0.6  // fraction of a drain in which clients keep their connections
 	flushSeconds       = 0.1  // time for the last answers to be written
 	closePollSeconds   = 0.005
+	maxTurnSeconds     = 0.01 // between two turns in Closing; in a longer gap the process was not run
+	maxFlushPolls      = 50   // polls of finish for answers that are being written
+	flushPoll          = time.Millisecond
 	closingIdleTimeout = 50 * time.Millisecond
 	newConnGrace       = 250 * time.Millisecond // time for a new connection's first byte while idle ones are closed
 )
@@ -30,8 +33,9 @@
 	retiringUntil   float64 // until then clients keep their connections after a stop
 	drainDeadline   float64 // when the scheduler answers the remaining requests
 	maxDrain        float64
-	closingSince    float64
-	closingStep     uint64 // the last step before closing began
+	closingTurnAt   float64 // the last turn in Closing
+	closingRan      float64 // seconds in Closing in which the process ran
+	closingStep     uint64  // the last step before closing began
 	idlePollTimer   *timerwheel.Timer[any]
 }
 
@@ -101,7 +105,7 @@
 		return false
 	}
 	d.downstream.CloseIdle(closingIdleTimeout)
-	if unanswered == 0 && d.downstream.Drained() || now-d.closingSince > flushSeconds {
+	if unanswered == 0 && d.downstream.Drained() || d.closingExpired(now) {
 		phases.Enter(Stopped)
 		return true
 	}
@@ -109,6 +113,15 @@
 	return false
 }
 
+// closingExpired reports whether Closing ends although connections are left. If it began early, because nothing was
+// left to drain, clients that connected since have until the end of the drain. Time in which the process was
+// suspended does not count as time for the last answers.
+func (d *Dispatcher) closingExpired(now float64) bool {
+	d.closingRan += min(now-d.closingTurnAt, maxTurnSeconds)
+	d.closingTurnAt = now
+	return now > d.drainDeadline+flushSeconds && d.closingRan > flushSeconds
+}
+
 func (d *Dispatcher) canServe() bool { return d.cachedUpdate == nil && d.endpoints.Len() > 0 }
 
 // isQuiet reports whether nothing is left to drain and the shortest drain time has passed.
@@ -119,7 +132,7 @@
 
 // startClosing makes the scheduler answer all remaining requests.
 func (d *Dispatcher) startClosing(now float64, unanswered int) {
-	d.closingSince = now
+	d.closingTurnAt = now
 	d.closingStep = d.stepCount
 	if unanswered > 0 {
 		d.Log("closing: %d requests get no answer from a worker", unanswered)
@@ -135,7 +148,7 @@
 
 // finish handles the messages that arrived while the loop ended, and ensures that no caller waits for the loop
 // afterwards.
-func (d *Dispatcher) finish(now float64) {
+func (d *Dispatcher) finish() {
 	d.drainInbox()
 	for _, r := range d.unanswered() { // a safeguard: the scheduler should have answered all
 		d.Log("request %s: no decision before the end", r.inbound.ID)
@@ -143,7 +156,7 @@
 	}
 	close(d.done)
 	d.rejectQueued()
-	for d.downstream.InFlight() > 0 && d.clock()-now < flushSeconds/2 {
-		time.Sleep(time.Millisecond) // the process ends after this, and would cut off answers that are being written
+	for polls := 0; d.downstream.InFlight() > 0 && polls < maxFlushPolls; polls++ {
+		time.Sleep(flushPoll) // the process ends after this, and would cut off answers that are being written
 	}
 }
--- a/internal/dispatcher/shutdown_test.go
+++ b/internal/dispatcher/shutdown_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// A client that connects as the loop closes must be served before the loop ends, even if it was quiet long before the
+// end of the drain and the process is suspended meanwhile, or if it is suspended in the time for the last answers.
+func TestSuspendedWhileClosing(t *testing.T) {
+	for name, drained := range map[string]bool{"quiet": false, "end of the drain": true} {
+		r := newRig(t)
+		if drained {
+			r.openConns = 1
+		}
+		r.handle(stopRequested{r.clock()})
+		for n := 0; r.stopAcceptingCalls == 0 && n < 1000; n++ {
+			r.advance(4 * time.Millisecond)
+		}
+		r.openConns = 1 // accepted from the backlog
+		r.now = r.now.Add(150 * time.Millisecond)
+		for range 5 { // turns in which its request arrives and is answered
+			r.now = r.now.Add(4 * time.Millisecond)
+			if r.runTurn(r.clock()); r.advancePhase(r.clock()) {
+				t.Errorf("%s: the loop ended before a connection from the backlog was served", name)
+				break
+			}
+		}
+		r.openConns = 0
+		if r.Phases.Now() != Stopped {
+			r.runUntilStopped()
+		}
+	}
+}
+
 // downstreamStub is a Downstream without connections. It calls onCheck when the loop calls Open or Drained.
 type downstreamStub struct {
 	checks, inFlight atomic.Int64
