Do not name a leader that a voter has no connection to

Callers: after the leader's end a lease request and /accord at another voter said 'the leader is "n1": propose there', where n1 was stopped. An operator in an outage is sent to a process that is not there.

Cause: currentLeader returned the leader that raft keeps until the election timeout; handleRequest found no connection to it and answered NOT_LEADER with its name. advertisedLeader, for voters that do not vote, skipped leaders without a connection already. That the test asks too early is ruled out: in virtual time the connections are closed before the request.

Change: a leader without a connection counts as unknown, so that the request fails with NoQuorumError, which is retried as before.

--- a/internal/cluster/consensus/raft.go
+++ b/internal/cluster/consensus/raft.go
@@ -215,15 +215,21 @@
 }
 
 // currentLeader returns the leader that raft knows or, while this voter does not
-// vote, the one that its peers report. The name is empty if none is known.
+// vote, the one that its peers report. The name is empty if none is known, or if this
+// voter has no connection to it: raft keeps a leader that has ended until the election
+// timeout, and nobody should be sent there.
 func (l *loop) currentLeader() (name, address string) {
 	if l.rawNode == nil {
 		return l.advertisedLeader()
 	}
-	if member := l.members.byID[l.rawNode.BasicStatus().Lead]; member != nil {
-		return member.Name, member.Address
+	member := l.members.byID[l.rawNode.BasicStatus().Lead]
+	if member == nil {
+		return "", ""
+	}
+	if member.Name != l.options.Name && l.node.transport.connectionTo(member.Name) == nil {
+		return "", ""
 	}
-	return "", ""
+	return member.Name, member.Address
 }
 
 // advertisedLeader returns the leader of the highest term that a peer has reported.
--- a/internal/cluster/consensus/requests_test.go
+++ b/internal/cluster/consensus/requests_test.go
@@ -64,3 +64,23 @@
 		}
 	})
 }
+
+// A voter must not name a leader that has ended, though raft keeps it until the election timeout: an operator or an
+// instance would be sent to a process that is not there.
+func TestEndedLeaderIsNotNamed(t *testing.T) {
+	names := "a b c"
+	withCluster(t, names, nil, func(c *testCluster) {
+		leader := c.waitForLeader(names).options.Name
+		follower := c.nodes[strings.Fields(without(names, leader))[0]]
+		client := NewClient(ClientOptions{Name: "i", Cluster: "test", Tick: tick, Dial: c.network.dial("i")})
+		defer client.Close()
+		c.stop(leader)
+		_, err := client.Request(c.context(), follower.options.Name+":1", []byte("q"))
+		if !errors.As(err, new(*NoQuorumError)) {
+			t.Errorf("request right after the leader's end: got %v, want NoQuorumError", err)
+		}
+		if named, _, _ := follower.Leader(); named == leader {
+			t.Errorf("the status names %q as the leader, which has ended", named)
+		}
+	})
+}
