Draw the suspensions of the stop soak before the signals, so that a seed names a run

Cause: suspendAtRandom drew from the run's random numbers in a goroutine while signalStop drew from them: a data race, and what a seed gave depended on the order. Found on reading the change again.

Change: the goroutine's generator is drawn before it starts.

--- a/internal/lab/experiments/stopsoak_test.go
+++ b/internal/lab/experiments/stopsoak_test.go
@@ -260,12 +260,13 @@
 		return err
 	}
 	suspensions := make(chan struct{})
+	rng := rand.New(rand.NewPCG(r.rng.Uint64(), 4)) // drawn here, as signalStop draws from r.rng meanwhile
 	go func() {
 		defer close(suspensions)
 		if r.kind == "quiet close" {
-			r.suspendAtClose(p)
+			r.suspendAtClose(p, rng)
 		} else {
-			r.suspendAtRandom(p)
+			r.suspendAtRandom(p, rng)
 		}
 	}()
 	r.signalStop(p)
@@ -354,8 +355,7 @@
 }
 
 // suspendAtRandom suspends the process a few times for 20 to 500 ms, the last time so that it can end in time.
-func (r *soakRun) suspendAtRandom(p *soakProcess) {
-	rng := rand.New(rand.NewPCG(r.rng.Uint64(), 4))
+func (r *soakRun) suspendAtRandom(p *soakProcess, rng *rand.Rand) {
 	for range 1 + rng.IntN(4) {
 		pause := time.Duration(20+rng.IntN(480)) * time.Millisecond
 		select {
@@ -374,8 +374,7 @@
 
 // suspendAtClose suspends the process, which has nothing left to drain, about when it closes its listener, and lets a few
 // clients connect meanwhile.
-func (r *soakRun) suspendAtClose(p *soakProcess) {
-	rng := rand.New(rand.NewPCG(r.rng.Uint64(), 6))
+func (r *soakRun) suspendAtClose(p *soakProcess, rng *rand.Rand) {
 	time.Sleep(soakQuietAfter + time.Duration(rng.Int64N(int64(soakQuietSpan))))
 	p.cmd.Process.Signal(syscall.SIGSTOP)
 	for range soakQuietConnects {
