--- a/review/stand/discovery.go
+++ b/review/stand/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -33,7 +34,10 @@
 }
 
 // watch is one open watch.
-type watch struct{ silent bool }
+type watch struct {
+	ending bool // it falls silent after its next empty line
+	silent bool
+}
 
 func newDiscovery(r *rig, latency time.Duration) *discovery {
 	return &discovery{rig: r, latency: latency, seq: 1, entries: map[string]object{}, changed: map[string]int64{},
@@ -109,6 +113,7 @@
 				if !d.isSilent(w) {
 					fmt.Fprint(out, "\n")
 					_ = flusher.Flush()
+					d.endIfDue(w)
 				}
 				continue
 			}
@@ -127,6 +132,13 @@
 	return w.silent
 }
 
+// endIfDue makes a watch silent if it has written its last line.
+func (d *discovery) endIfDue(w *watch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w.silent = w.ending
+}
+
 // write writes what changed after a version, or the whole list, and returns the version written.
 func (d *discovery) write(
 	v *view, out http.ResponseWriter, flusher *http.ResponseController, from int64, whole bool,
@@ -156,3 +168,43 @@
 	}
 	return seq
 }
+
+// silence makes the watches that some dispatchers have open silent, each after its next empty line, and returns when
+// all are. They stay open; later calls are answered.
+func (d *discovery) silence(views ...*view) error {
+	d.mu.Lock()
+	for _, v := range views {
+		for w := range v.watches {
+			w.ending = true
+		}
+	}
+	d.mu.Unlock()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if d.allSilent(views) {
+			d.rig.note("discovery: the open watches of %d dispatchers have fallen silent", len(views))
+			return nil
+		}
+	}
+	return errors.New("a watch did not fall silent")
+}
+
+func (d *discovery) allSilent(views []*view) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, v := range views {
+		for w := range v.watches {
+			if !w.silent {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// toldAt returns when a dispatcher was first told of a host's health.
+func (d *discovery) toldAt(v *view, host, health string) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := v.told[host+" "+health]
+	return at, ok
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,6 +11,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*rig) (int, error){
 	"deferred-class": deferredClass,
+	"foreign-drain":  foreignDrain,
 }
 
 func main() {
