--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -51,6 +51,15 @@
 
 // startCluster starts instances that are all voters and may all own shards.
 func (r *rig) startCluster(d *discovery, count int) (*cluster, error) {
+	c, err := r.newCluster(d, count)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.startAll()
+}
+
+// newCluster prepares instances, whose settings may be changed before they are started.
+func (r *rig) newCluster(d *discovery, count int) (*cluster, error) {
 	c := &cluster{rig: r}
 	for i := range count {
 		in := &instance{name: fmt.Sprintf("n%d", i), listen: freeAddress(), admin: freeAddress(), accord: freeAddress(),
@@ -61,27 +70,32 @@
 			return nil, err
 		}
 		in.view = view
+		in.configPath = filepath.Join(r.dir, in.name+".json")
+		in.filePath = filepath.Join(r.dir, in.name+".hcl")
 		c.instances = append(c.instances, in)
 	}
+	return c, nil
+}
+
+// startAll starts all instances and waits until they serve.
+func (c *cluster) startAll() error {
 	for _, in := range c.instances {
-		in.configPath = filepath.Join(r.dir, in.name+".json")
-		in.filePath = filepath.Join(r.dir, in.name+".hcl")
 		if err := c.configure(in); err != nil {
-			return nil, err
+			return err
 		}
 		if err := os.WriteFile(in.filePath, []byte(c.file(in)), 0o600); err != nil {
-			return nil, err
+			return err
 		}
 		if err := c.start(in); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	for _, in := range c.instances {
 		if err := waitReady(in.listen, 20*time.Second); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return c, nil
+	return nil
 }
 
 // configure writes an instance's configuration file.
--- a/review/stand/rig.go
+++ b/review/stand/rig.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -209,14 +210,26 @@
 	}
 }
 
-// freeAddress returns a loopback address that nobody listens on.
+// usedPorts are the ports that freeAddress has returned.
+var usedPorts = map[int]bool{}
+
+// freeAddress returns a loopback address that nobody listens on. Its port is below those that the system gives to
+// outgoing connections, so that none of these takes it meanwhile.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := 20000 + rand.IntN(12000)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil || usedPorts[port] {
+			if err == nil {
+				_ = l.Close()
+			}
+			continue
+		}
+		_ = l.Close()
+		usedPorts[port] = true
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // waitReady waits until the dispatcher at an address answers GET /healthz with 200.
