Review case: idle clients keep usual ones in the backlog past their time

Done: review/2, one dispatcher with 256 descriptors, 600 idle clients that connect and say nothing, and twenty usual ones behind them.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,7 +12,7 @@
 var cases = map[string]func(*rig) (int, error){
 	"deferred-class": deferredClass,
 	"foreign-drain":  foreignDrain,
-	"keyed-scope":    keyedScope,
+	"crowd":          crowd,
 }
 
 func main() {
