--- a/review/stand/rig.go
+++ b/review/stand/rig.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	record   *os.File
 	procs    []*process
+	closed   bool
 	findings []string
 }
 
@@ -99,12 +100,16 @@
 	return broken
 }
 
-// close ends all processes and removes the temporary folder.
+// close ends all processes and removes the temporary folder. No process is started after it.
 func (r *rig) close() {
-	for _, p := range r.procs {
+	r.mu.Lock()
+	r.closed = true
+	procs := r.procs
+	r.mu.Unlock()
+	for _, p := range procs {
 		p.kill()
 	}
-	for _, p := range r.procs {
+	for _, p := range procs {
 		r.appendLog(p)
 	}
 	_ = os.RemoveAll(r.dir)
@@ -155,6 +160,11 @@
 	if err != nil {
 		return nil, err
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return nil, errors.New("the case has ended")
+	}
 	logPath := filepath.Join(r.dir, fmt.Sprintf("%s-%d.log", name, len(r.procs)))
 	log, err := os.Create(logPath)
 	if err != nil {
@@ -175,8 +185,8 @@
 	}
 	p := &process{rig: r, name: name, logPath: logPath, cmd: cmd, ended: make(chan struct{})}
 	r.procs = append(r.procs, p)
-	r.note("start %s: %s", name, command)
 	go func() {
+		r.note("started %s: %s", name, command)
 		err := cmd.Wait()
 		r.note("%s ended: %v", name, err)
 		_ = log.Close()
