--- a/review/stand/crowd.go
+++ b/review/stand/crowd.go
@@ -13,6 +13,9 @@
 // lateAnswer is the time after a request's own time from which its answer counts as lost.
 const lateAnswer = 500 * time.Millisecond
 
+// goneSlack is the time after a client's close from which no attempt may begin for it.
+const goneSlack = 100 * time.Millisecond
+
 // crowd has idle clients fill a dispatcher's descriptors. They connect, say nothing, and close when the dispatcher
 // does. Right after them usual clients connect and send a request each.
 func crowd(r *rig) (int, error) {
@@ -72,6 +75,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	answers := c.answers()
+	time.Sleep(3 * time.Second) // by then the dispatcher has accepted all connections
 	if !n0.running() {
 		return 0, errors.New("n0 has ended")
 	}
@@ -91,7 +95,16 @@
 				a.id, deadline, a.status, took.Seconds())
 		}
 	}
-	r.say("%d requests, %d answered in time", requests, served)
+	late := 0
+	for _, e := range workers.receipts() {
+		for _, a := range answers {
+			if since := e.at.Sub(a.at); e.id == a.id && isTimeout(a.err) && since > goneSlack {
+				late++
+				r.found("request %s was sent to %s %.3f s after its client had closed", e.id, e.worker, since.Seconds())
+			}
+		}
+	}
+	r.say("%d requests, %d answered in time, %d sent to a worker after their client had closed", requests, served, late)
 	return r.verdict("lost"), nil
 }
 
