--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -26,7 +26,8 @@
 // answer is what a client got.
 type answer struct {
 	job
-	sentAt time.Time
+	sentAt time.Time // when its last byte was written; before that, when the client began
+	taken  bool      // its last byte was written
 	at     time.Time
 	status int // 0: none
 	body   string
@@ -88,10 +89,10 @@
 		j.id, j.class, j.tenant, j.timeout, c.name, strings.Join(j.headers, "; "))
 	conn, err := c.take(false)
 	if err == nil {
-		a.status, a.body, err = c.roundTrip(conn, j, a.sentAt)
+		a.status, a.body, err = c.roundTrip(conn, &a)
 		if err != nil && conn.used && a.status == 0 && crossedClose(err) {
 			if conn, err = c.take(true); err == nil {
-				a.status, a.body, err = c.roundTrip(conn, j, a.sentAt)
+				a.status, a.body, err = c.roundTrip(conn, &a)
 			}
 		}
 	}
@@ -109,8 +110,9 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-func (c *clients) roundTrip(conn *clientConn, j job, sentAt time.Time) (status int, body string, err error) {
-	_ = conn.SetDeadline(sentAt.Add(j.timeout + 600*time.Millisecond))
+func (c *clients) roundTrip(conn *clientConn, a *answer) (status int, body string, err error) {
+	j := a.job
+	_ = conn.SetDeadline(time.Now().Add(j.timeout + 600*time.Millisecond))
 	payload := "order of " + j.id
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST /%s HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\n", j.class, j.id)
@@ -124,6 +126,9 @@
 		conn.Close()
 		return 0, "", err
 	}
+	a.sentAt = time.Now()
+	a.taken = true
+	_ = conn.SetDeadline(a.sentAt.Add(j.timeout + 600*time.Millisecond))
 	resp, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		conn.Close()
--- a/review/stand/crowd.go
+++ b/review/stand/crowd.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -25,6 +28,9 @@
 		class    = "sone-oppslag"
 		deadline = 1500 * time.Millisecond
 	)
+	if err := checkBacklog(idlers + requests); err != nil {
+		return 0, err
+	}
 	workers := newBook()
 	watch := newDiscovery(r, 100*time.Millisecond)
 	view, err := watch.open("n0")
@@ -85,7 +91,7 @@
 		switch {
 		case a.status != 0 && took <= deadline+lateAnswer:
 			served++
-		case isTimeout(a.err):
+		case a.taken && isTimeout(a.err):
 			r.found("request %s, whose client waits %v, had no answer %.3f s after it was sent",
 				a.id, deadline, took.Seconds())
 		case a.err != nil:
@@ -98,7 +104,7 @@
 	late := 0
 	for _, e := range workers.receipts() {
 		for _, a := range answers {
-			if since := e.at.Sub(a.at); e.id == a.id && isTimeout(a.err) && since > goneSlack {
+			if since := e.at.Sub(a.at); e.id == a.id && a.taken && isTimeout(a.err) && since > goneSlack {
 				late++
 				r.found("request %s was sent to %s %.3f s after its client had closed", e.id, e.worker, since.Seconds())
 			}
@@ -108,6 +114,20 @@
 	return r.verdict("lost"), nil
 }
 
+// checkBacklog reports an error where the system accepts fewer waiting connections than the case makes: a connection
+// beyond them is not accepted by the dispatcher's machine.
+func checkBacklog(wanted int) error {
+	raw, err := os.ReadFile("/proc/sys/net/core/somaxconn")
+	if err != nil {
+		return err
+	}
+	most, err := strconv.Atoi(strings.TrimSpace(string(raw)))
+	if err == nil && most < wanted {
+		err = fmt.Errorf("the system lets %d connections wait, the case needs %d", most, wanted)
+	}
+	return err
+}
+
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
--- a/review/stand/foreigndrain.go
+++ b/review/stand/foreigndrain.go
@@ -74,6 +74,11 @@
 	time.Sleep(8 * time.Second)
 	close(stop)
 	<-ended
+	for _, in := range c.instances {
+		if !in.running() {
+			return 0, fmt.Errorf("%s has ended", in.name)
+		}
+	}
 	served := 0
 	for _, a := range load.answers() {
 		if a.status == 200 {
--- a/review/stand/rig.go
+++ b/review/stand/rig.go
@@ -178,6 +178,7 @@
 	cmd.Dir = r.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + tmp, "RELAY_NAME=" + name, "RELAY_CONFIG=" + configPath}
 	cmd.Env = append(cmd.Env, env...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the player is killed
 	cmd.Stdout = log
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -13,7 +13,7 @@
 
 // receipt is one request that arrived at a worker whole.
 type receipt struct {
-	at     time.Time
+	at     time.Time // of its head
 	id     string
 	worker string
 	class  string
@@ -101,6 +101,7 @@
 		w.report(out)
 		return
 	}
+	arrived := time.Now() // a send's time counts from its first byte
 	body, err := io.ReadAll(in.Body)
 	id := in.Header.Get("Request-Id")
 	if err != nil || id == "" {
@@ -108,7 +109,7 @@
 		return
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(in.URL.Path, "/"), "/")
-	r := &receipt{at: time.Now(), id: id, worker: w.id, class: class}
+	r := &receipt{at: arrived, id: id, worker: w.id, class: class}
 	tries := w.book.add(r)
 	w.rig.note("worker %s received %s (%s), receipt %d, timeout %s, %d bytes",
 		w.id, id, class, tries, in.Header.Get("Request-Timeout"), len(body))
