--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -10,7 +10,9 @@
 )
 
 // startFleet starts workers in two zones; six in ten are of the larger kind.
-func (r *rig) startFleet(count int, b *book, runs func(id, class string, tries int) outcome) ([]*worker, error) {
+func (r *rig) startFleet(
+	count int, b *book, runs func(id, class string, tries int) outcome, dispatchers ...string,
+) ([]*worker, error) {
 	var list []*worker
 	for i := range count {
 		w := &worker{id: fmt.Sprintf("s-%04d", i), zone: "sentrum", kind: "stor-5k", block: 1, slots: 5,
@@ -21,7 +23,7 @@
 		if i%5 > 2 {
 			w.kind, w.slots = "liten-4k", 4
 		}
-		if err := r.startWorker(w); err != nil {
+		if err := r.startWorker(w, dispatchers...); err != nil {
 			return nil, err
 		}
 		list = append(list, w)
--- a/review/stand/discovery.go
+++ b/review/stand/discovery.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,7 +21,8 @@
 	mu      sync.Mutex
 	seq     int64
 	entries map[string]object
-	changed map[string]int64 // by host: the version of its last change
+	dials   map[string]map[string]string // by host and dispatcher, where each dispatcher has an address of its own
+	changed map[string]int64             // by host: the version of its last change
 	views   map[string]*view
 	wake    chan struct{} // closed at each change
 }
@@ -41,6 +43,7 @@
 
 func newDiscovery(r *rig, latency time.Duration) *discovery {
 	return &discovery{rig: r, latency: latency, seq: 1, entries: map[string]object{}, changed: map[string]int64{},
+		dials: map[string]map[string]string{},
 		views: map[string]*view{}, wake: make(chan struct{})}
 }
 
@@ -58,6 +61,17 @@
 	d.wake = make(chan struct{})
 }
 
+// entryFor returns a host's entry as a dispatcher gets it. The caller holds mu.
+func (d *discovery) entryFor(v *view, host string) object {
+	address, own := d.dials[host][v.name]
+	if !own {
+		return d.entries[host]
+	}
+	entry := maps.Clone(d.entries[host])
+	entry["dial"] = address
+	return entry
+}
+
 // entry returns a worker's entry.
 func (w *worker) entry(health string) object {
 	return object{"host": w.id, "dial": w.address, "site": w.zone, "class": w.kind, "block": w.block,
@@ -148,7 +162,7 @@
 	hosts := []object{}
 	for _, name := range sorted(d.entries) {
 		if whole || d.changed[name] > from {
-			hosts = append(hosts, d.entries[name])
+			hosts = append(hosts, d.entryFor(v, name))
 		}
 	}
 	d.mu.Unlock()
--- a/review/stand/foreigndrain.go
+++ b/review/stand/foreigndrain.go
@@ -17,11 +17,12 @@
 	watch := newDiscovery(r, time.Second)
 	list, err := r.startFleet(12, workers, func(string, string, int) outcome {
 		return outcome{time.Duration(200+rand.IntN(100)) * time.Millisecond, "done"}
-	})
+	}, "n0", "n1", "n2")
 	if err != nil {
 		return 0, err
 	}
 	for _, w := range list {
+		watch.dials[w.id] = w.dials
 		watch.set(w.entry("active"))
 	}
 	c, err := r.startCluster(watch, 3)
@@ -89,10 +90,10 @@
 		return 0, fmt.Errorf("no job was served")
 	}
 	for _, e := range workers.receipts() {
-		if !drained[e.worker] {
+		// The address that a send came to says which instance sent it.
+		if !drained[e.worker] || e.from != entry.name {
 			continue
 		}
-		// All jobs are sent by the instance that accepted them.
 		at, ok := watch.toldAt(entry.view, e.worker, "leaving")
 		if late := e.at.Sub(at); ok && late > drainLimit {
 			r.found("%s sent %s to %s %.3f s after discovery told it that %s drains",
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -16,6 +16,7 @@
 	at     time.Time // of its head
 	id     string
 	worker string
+	from   string // the dispatcher to which discovery names the address that it came to; empty: the only one
 	class  string
 	begun  bool // the worker began to run it
 }
@@ -29,6 +30,7 @@
 	block   int
 	slots   int
 	address string
+	dials   map[string]string // by dispatcher: the address at which it reaches the worker, if each has its own
 	bornMS  int64
 
 	// runs says what becomes of a request that a slot is free for.
@@ -78,25 +80,30 @@
 	return list
 }
 
-// startWorker starts a worker on a loopback address.
-func (r *rig) startWorker(w *worker) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
+// startWorker starts a worker on a loopback address, and on one more for each dispatcher that is named.
+func (r *rig) startWorker(w *worker, dispatchers ...string) error {
 	w.rig = r
-	w.address = l.Addr().String()
 	w.free = make(chan struct{}, w.slots)
 	for range w.slots {
 		w.free <- struct{}{}
 	}
-	server := &http.Server{Handler: w, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second}
-	go func() { _ = server.Serve(l) }()
+	w.dials = map[string]string{}
+	for _, name := range append([]string{""}, dispatchers...) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		w.dials[name] = l.Addr().String()
+		handler := http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) { w.serve(name, out, in) })
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second}
+		go func() { _ = server.Serve(l) }()
+	}
+	w.address = w.dials[""]
 	return nil
 }
 
-// ServeHTTP answers load reports and runs jobs.
-func (w *worker) ServeHTTP(out http.ResponseWriter, in *http.Request) {
+// serve answers load reports and runs jobs.
+func (w *worker) serve(from string, out http.ResponseWriter, in *http.Request) {
 	if in.Method == http.MethodGet {
 		w.report(out)
 		return
@@ -109,10 +116,10 @@
 		return
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(in.URL.Path, "/"), "/")
-	r := &receipt{at: arrived, id: id, worker: w.id, class: class}
+	r := &receipt{at: arrived, id: id, worker: w.id, from: from, class: class}
 	tries := w.book.add(r)
-	w.rig.note("worker %s received %s (%s), receipt %d, timeout %s, %d bytes",
-		w.id, id, class, tries, in.Header.Get("Request-Timeout"), len(body))
+	w.rig.note("worker %s received %s (%s) from %q, receipt %d, timeout %s, %d bytes",
+		w.id, id, class, from, tries, in.Header.Get("Request-Timeout"), len(body))
 	select {
 	case <-w.free:
 	case <-in.Context().Done():
