A deferred job keeps the class with which it was accepted

Cause: a request is accepted on arrival, but the scheduler learned of a deferred one only at its release, by a JobArrived that names the class, and took the definition of that name as it was then. The idempotence that the loop noted on arrival guards no retry. Ruled out: a repeat within the connection pool (the loop starts a second attempt, as the test sees with a stubbed pool), and the scheduler's own jobs (TestConfigChanged: those it holds keep their class).

Change: the loop keeps the definition of the class with which it accepted a request, and JobArrived carries it. The scheduler uses its present entry if that is the same definition, else the former one, which it keeps while it has jobs. A class that vanished keeps its last definition at the loop too, as in the scheduler. A log line names a job that is released with a former definition.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -29,10 +29,7 @@
 }
 
 func (b *Balancer) newJob(e JobArrived) *job {
-	c := b.classes[e.Class]
-	if c == nil {
-		c = unknownClass(e.Class, e.Timeout)
-	}
+	c := b.classOf(e.Class, e.Accepted, e.Timeout)
 	t := b.tenantFor(e.Tenant)
 	c.longestTimeout = max(c.longestTimeout, e.Timeout)
 	j := &job{
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -22,7 +22,8 @@
 	actions   []Action
 
 	classes       map[string]*class
-	tenants       []*tenant // in the order of the configuration, then tenants that it does not name
+	formerClasses map[string][]*class // other definitions with which jobs were accepted, by name
+	tenants       []*tenant           // in the order of the configuration, then tenants that it does not name
 	tenantsByName map[string]*tenant
 	passBuffer    []*tenant // reused by passOrder
 
@@ -85,6 +86,7 @@
 		rng:           rand.New(rand.NewPCG(seed, seedStream)),
 		timerAt:       math.Inf(-1),
 		classes:       map[string]*class{},
+		formerClasses: map[string][]*class{},
 		tenantsByName: map[string]*tenant{},
 		jobTable:      jobTable{jobs: map[string]*job{}},
 		workerTable:   workerTable{workersByID: map[string]*worker{}, cordonedAt: map[string]float64{}},
--- a/balance/events.go
+++ b/balance/events.go
@@ -14,6 +14,10 @@
 	Retry   bool // the client states that this is a retry
 	// StartsNow makes the latency objective count from now, even if part of the client's timeout has passed.
 	StartsNow bool
+	// Accepted is the definition of the class with which the caller accepted the job, if that may have been under
+	// an earlier configuration. Nil means the definition that is configured when the event is handled. It is not
+	// modified. Its MaxWait has no effect: a wait is promised only now.
+	Accepted *Class
 	// Age is how long ago the job arrived, in seconds, if it was held elsewhere before the caller got it.
 	// It determines the job's place in the queue.
 	Age float64
@@ -96,7 +100,7 @@
 }
 
 // ConfigChanged replaces the entire configuration; one that Config.Check rejects changes nothing. Existing
-// jobs keep the class definition with which they arrived, but the new MaxAttempts applies to them, too.
+// jobs keep the class definition with which they were accepted, but the new MaxAttempts applies to them, too.
 // Tenants keep their tags. With TightenExisting, existing jobs are also bound by a class definition that
 // allows fewer retries than before.
 type ConfigChanged struct {
--- a/balance/job.go
+++ b/balance/job.go
@@ -16,15 +16,16 @@
 // runsOn reports whether jobs of the class can run on the worker's kind.
 func (c *class) runsOn(w *worker) bool { return c.WorkerKind == "" || c.WorkerKind == w.Kind }
 
-// unknownClass returns a class for a name that is not configured. Its jobs are never retried.
-func unknownClass(name string, timeout float64) *class {
-	return &class{Class: Class{
+// UnknownClass returns the definition of a class whose name is not configured, for a job with the given
+// timeout in seconds. Its jobs are never retried.
+func UnknownClass(name string, timeout float64) Class {
+	return Class{
 		Name:             name,
 		LatencyObjective: timeout,
 		Deadline:         timeout,
 		PriorityWeight:   1,
 		Idempotence:      NonIdempotent,
-	}}
+	}
 }
 
 // job is a job that is queued or in flight.
--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -51,16 +51,42 @@
 }
 
 // applyClasses replaces the classes. A class that changes in more than MaxWait gets a new entry, as
-// existing jobs keep the class with which they arrived. A class that is no longer configured is kept, as
-// some of its jobs may still exist.
+// existing jobs keep the class with which they were accepted. A class that is no longer configured is kept,
+// as some of its jobs may still exist.
 func (b *Balancer) applyClasses() {
 	b.anyWorkerKind = false
 	b.anyIdempotent = false
 	for _, c := range b.config.Classes {
-		b.classes[c.Name] = replaceClass(b.classes[c.Name], c)
+		old := b.classes[c.Name]
+		b.classes[c.Name] = replaceClass(old, c)
+		if old != nil && old != b.classes[c.Name] {
+			b.formerClasses[c.Name] = append(b.formerClasses[c.Name], old)
+		}
 		b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
 		b.anyIdempotent = b.anyIdempotent || c.Idempotence == Idempotent
 	}
+	b.pruneFormerClasses()
+}
+
+// pruneFormerClasses drops the former classes that no job has. The others get the present MaxWait of their
+// name, like a class that is replaced.
+func (b *Balancer) pruneFormerClasses() {
+	inUse := map[*class]bool{}
+	for _, j := range b.jobs {
+		inUse[j.class] = true
+	}
+	for name, former := range b.formerClasses {
+		former = slices.DeleteFunc(former, func(c *class) bool { return !inUse[c] })
+		b.formerClasses[name] = former
+		if len(former) == 0 {
+			delete(b.formerClasses, name)
+		}
+		for _, c := range former {
+			if present := b.classes[name]; present != nil {
+				c.MaxWait = present.MaxWait
+			}
+		}
+	}
 }
 
 func replaceClass(old *class, c Class) *class {
@@ -78,6 +104,56 @@
 	return replaced
 }
 
+// classOf returns the class of a job: that of the definition with which it was accepted, or the present one
+// of the name if accepted is nil. timeout is the job's, in seconds.
+func (b *Balancer) classOf(name string, accepted *Class, timeout float64) *class {
+	present := b.classes[name]
+	switch {
+	case accepted != nil:
+		return b.acceptedClass(name, *accepted)
+	case present != nil:
+		return present
+	}
+	return &class{Class: UnknownClass(name, timeout)}
+}
+
+// acceptedClass returns the present class of a name if the definition is the same, and otherwise the former
+// one with that definition. A definition that a configuration could not have is not used: the job then has
+// an unknown class.
+func (b *Balancer) acceptedClass(name string, accepted Class) *class {
+	accepted.Name = name
+	present := b.classes[name]
+	if present != nil && present.SameDefinition(accepted) { // nearly always
+		return present
+	}
+	if accepted.normalize("") != nil {
+		accepted = UnknownClass(name, defaultDeadline)
+	}
+	if present != nil && present.SameDefinition(accepted) {
+		return present
+	}
+	for _, c := range b.formerClasses[name] {
+		if c.SameDefinition(accepted) {
+			return c
+		}
+	}
+	accepted.MaxWait = 0
+	c := &class{Class: accepted}
+	if present != nil {
+		c.MaxWait = present.MaxWait
+		c.runTime = present.runTime
+	}
+	b.formerClasses[name] = append(b.formerClasses[name], c)
+	return c
+}
+
+// SameDefinition reports whether jobs that were accepted with either definition are treated alike. MaxWait
+// makes no difference, as a wait is promised when a job is queued.
+func (c *Class) SameDefinition(other Class) bool {
+	other.MaxWait = c.MaxWait
+	return *c == other
+}
+
 // applyTenants updates the tenants. A tenant that is not configured has no reservation and the default
 // weight.
 func (b *Balancer) applyTenants() {
--- a/balance/transfer.go
+++ b/balance/transfer.go
@@ -211,7 +211,7 @@
 func (b *Balancer) importJob(t *tenant, s JobState) *job {
 	j := &job{
 		id:               s.ID,
-		class:            b.classes[s.Class],
+		class:            b.classOf(s.Class, nil, s.Age+s.TimeLeft),
 		tenant:           t,
 		firstRequestedAt: b.now - s.FirstRequestAge,
 		arrivedAt:        b.now - s.Age,
@@ -223,9 +223,6 @@
 		mayHaveRun:       s.MayHaveRun,
 		closed:           s.Closed,
 	}
-	if j.class == nil {
-		j.class = unknownClass(s.Class, s.Age+s.TimeLeft)
-	}
 	if s.FirstWorker.ID != "" {
 		j.firstWorker = b.importWorker(s.FirstWorker)
 		j.firstAttemptAt = b.now - s.FirstAttemptAge
--- /dev/null
+++ b/internal/dispatcher/acceptedclass_test.go
@@ -0,0 +1,102 @@
+package dispatcher
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/bellstream/balance"
+	"example.org/bellstream/internal/settings"
+)
+
+const (
+	unsafeLane = `{"name":"unsafe","aim":0.5,"hard_limit":3,"semantics":"unsafe","value":1},`
+	safeLane   = `"semantics":"safe"`
+)
+
+// parseSettings returns the rig's settings with replacements.
+func parseSettings(t *testing.T, oldnew ...string) *settings.Settings {
+	t.Helper()
+	s, err := settings.Parse([]byte(strings.NewReplacer(oldnew...).Replace(settingsJSON)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// attemptsUntilAnswer lets a job's attempts break until it is answered, and returns their number with those that the
+// scheduler cancelled.
+func (r *rig) attemptsUntilAnswer(j *jobModel) int {
+	r.t.Helper()
+	for range 200 {
+		if j.inFlight != nil {
+			r.finishJob(j, balance.ConnectionLost)
+		}
+		if len(j.answers) > 0 {
+			return j.attempts
+		}
+		r.advance(20 * time.Millisecond)
+		r.reportFreeSlots(1e6)
+	}
+	r.t.Fatalf("%s: no answer", j.req.ID)
+	return 0
+}
+
+// A job that waits for a time or for another job must be retried by the class with which it was accepted, however a
+// reload changes that class meanwhile, even in the turn in which the job is released.
+func TestDeferredJobKeepsItsClass(t *testing.T) {
+	for name, c := range map[string]struct {
+		class    string
+		reloads  []*settings.Settings
+		attempts int // of 3, when each breaks
+	}{
+		"unsafe becomes keyed": {"unsafe", []*settings.Settings{
+			parseSettings(t, `"unsafe","value"`, `"keyed","dedup_scope":"all","repeat_window":9,"value"`)}, 1},
+		"unsafe becomes safe": {"unsafe", []*settings.Settings{parseSettings(t, `"semantics":"unsafe"`, safeLane)}, 1},
+		"unsafe vanishes and comes back safe": {"unsafe", []*settings.Settings{
+			parseSettings(t, unsafeLane, ""), parseSettings(t, `"semantics":"unsafe"`, safeLane)}, 1},
+		"unsafe vanishes": {"unsafe", []*settings.Settings{parseSettings(t, unsafeLane, "")}, 1},
+		"safe becomes unsafe with another deadline": {"safe", []*settings.Settings{
+			parseSettings(t, `"hard_limit":2,"semantics":"safe"`, `"hard_limit":1,"semantics":"unsafe"`)}, 3},
+		"keyed becomes unsafe": {"keyed", []*settings.Settings{
+			parseSettings(t, `"semantics":"keyed","dedup_scope":"zone","repeat_window":9`, `"semantics":"unsafe"`)}, 3},
+	} {
+		for _, waitsFor := range []string{"a time", "a job"} {
+			for _, inTurn := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, waits for %s, in the turn of the release %v", name, waitsFor, inTurn), func(t *testing.T) {
+					r := newDeferredRig(t)
+					var parents []string
+					var parent *jobModel
+					if waitsFor == "a job" {
+						parent = r.arrive("p", "safe", 9*time.Second)
+						parents = append(parents, "p")
+					} else {
+						r.startDelay = 500 * time.Millisecond
+					}
+					j := r.arrive("j", c.class, 5*time.Second, parents...)
+					r.reportFreeSlots(1e6)
+					if inTurn && parent == nil {
+						r.advance(j.sentAt.Add(480 * time.Millisecond).Sub(r.now))
+						r.now = j.sentAt.Add(501 * time.Millisecond)
+					}
+					for _, s := range c.reloads {
+						r.handle(settingsChanged{s})
+						if !inTurn {
+							r.advance(20 * time.Millisecond)
+						}
+					}
+					if len(r.requests["j"].attempts) > 0 || r.requests["j"].submitStep != 0 {
+						t.Fatal("submitted before the reload")
+					}
+					if parent != nil {
+						r.finishJob(parent, balance.Served)
+					}
+					if got := r.attemptsUntilAnswer(j); got != c.attempts {
+						t.Errorf("got %d attempts, want %d as when it was accepted", got, c.attempts)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -48,7 +48,7 @@
 		Deadline:       d.wallTime(r.deadline),
 		SendBy:         d.wallTime(sendBy),
 		Fields:         d.reportFieldNames(),
-		AtMostOnce:     r.atMostOnce,
+		AtMostOnce:     r.atMostOnce(),
 		Blocked: func() balance.Outcome {
 			if r.inbound.Disconnected() || handle.Invalid() {
 				return balance.Blocked
@@ -65,8 +65,8 @@
 // the deduplication window of the first attempt that may have run. The window is counted from the decision to
 // send that attempt, which precedes the worker's receipt of the job, so a retry sent by its end is in time.
 func (r *request) sendBy() float64 {
-	if r.dedupWindow > 0 && r.firstMayHaveRunAt > 0 {
-		return min(r.deadline, r.firstMayHaveRunAt+r.dedupWindow)
+	if window := r.dedupWindow(); window > 0 && r.firstMayHaveRunAt > 0 {
+		return min(r.deadline, r.firstMayHaveRunAt+window)
 	}
 	return r.deadline
 }
--- a/internal/dispatcher/crossing_test.go
+++ b/internal/dispatcher/crossing_test.go
@@ -237,7 +237,7 @@
 	r.ConfigSource = m
 	arriveOnce := func(id string) bool {
 		r.arrive(id, "safe", time.Hour)
-		return r.requests[id].atMostOnce
+		return r.requests[id].atMostOnce()
 	}
 	first := arriveOnce("1")
 	s := allNonIdempotent(r.Settings)
--- a/internal/dispatcher/deferred.go
+++ b/internal/dispatcher/deferred.go
@@ -118,6 +118,7 @@
 	if due.Cause != nil {
 		d.logLimited("cascade", "job %s ends with one that it depends on: %v", due.ID, due.Cause)
 	}
+	d.logFormerClass(r)
 	switch {
 	case r.answered:
 	case due.Expired: // with no time left, the scheduler answers it in its next step
@@ -131,6 +132,17 @@
 	return false
 }
 
+// logFormerClass logs that a job is released with the definition of its class with which it was accepted, if jobs that
+// arrive now get another one.
+func (d *Dispatcher) logFormerClass(r *request) {
+	present := d.classDefinition(r.inbound)
+	if r.class == present || r.class.SameDefinition(*present) {
+		return
+	}
+	d.logLimited("former "+r.class.Name, "class %s: job %s was deferred before the class changed and keeps the "+
+		"definition of its arrival (%s, now %s)", r.class.Name, r.inbound.ID, r.class.Idempotence, present.Idempotence)
+}
+
 // parentFailed returns the answer to a job that fails because a job that it depends on has failed.
 func (d *Dispatcher) parentFailed(cause *deferred.Cause) downstream.Answer {
 	a := downstream.Answer{Status: http.StatusFailedDependency, Body: []byte(cause.String() + "\n")}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -162,10 +162,12 @@
 }
 
 func (d *Dispatcher) newScheduler() error {
-	b, err := balance.New(d.schedulerConfig(), d.Seed)
+	config := d.schedulerConfig()
+	b, err := balance.New(config, d.Seed)
 	if err != nil {
 		return err
 	}
+	d.defineClasses(config)
 	d.scheduler = b
 	if d.NewScheduler != nil {
 		d.scheduler = d.NewScheduler(b, d.clock)
--- a/internal/dispatcher/effectiveconfig.go
+++ b/internal/dispatcher/effectiveconfig.go
@@ -47,6 +47,7 @@
 		return
 	}
 	d.rejectedConfig = nil
+	d.defineClasses(config)
 	d.prependConfigChange(balance.ConfigChanged{Config: config, TightenExisting: true})
 	d.ConfigSource.Acknowledge(next)
 }
@@ -79,25 +80,6 @@
 	return d.effectiveConfig.Override(d.Settings)
 }
 
-// classBasis identifies the inputs of the effective settings.
-type classBasis struct {
-	platform *settings.Settings
-	config   *EffectiveConfig
-}
-
-// class returns the effective settings of a class. They are derived once per classBasis.
-func (d *Dispatcher) class(name string) (class settings.Class, ok bool) {
-	if basis := (classBasis{d.Settings, d.effectiveConfig}); basis != d.classBasis {
-		d.classBasis = basis
-		d.classes = map[string]settings.Class{}
-		for _, c := range d.effectiveSettings().Classes {
-			d.classes[c.Name] = c
-		}
-	}
-	class, ok = d.classes[name]
-	return class, ok
-}
-
 // checkSend is called right before the first byte of an attempt is written. It returns "" if the attempt may be
 // sent. Otherwise it returns the attempt's outcome: Unreachable if its worker has been cordoned, or Blocked, which
 // is no evidence against the worker, if it is a retry that was decided under another configuration.
--- a/internal/dispatcher/reload.go
+++ b/internal/dispatcher/reload.go
@@ -14,8 +14,9 @@
 	slowStartShare  float64          // fraction of the slow-start budgets that this process uses
 	knownTenants    map[string]bool
 	reportFields    []string // meaning of the values of load reports
-	classBasis      classBasis
-	classes         map[string]settings.Class
+	// classes has the definition of each class with which jobs are accepted now, by name. A definition is replaced,
+	// never modified. That of a class that is no longer configured is kept: clients may send jobs for some time.
+	classes map[string]*balance.Class
 }
 
 func (d *Dispatcher) applySettings(s *settings.Settings) {
@@ -27,7 +28,7 @@
 	if d.Phases.Now() >= Retiring { // the time of SIGKILL is fixed: a reload can only shorten the drain
 		d.drainDeadline = min(d.drainDeadline, d.stopRequestedAt+d.maxDrain)
 	}
-	d.addEvent(balance.ConfigChanged{Config: d.schedulerConfig()})
+	d.changeSchedulerConfig()
 	d.scheduleWatchRetry() // the settings decide whether the loop or the scheduler restarts a watch
 }
 
@@ -57,12 +58,32 @@
 	return c
 }
 
+// changeSchedulerConfig passes the present configuration to the scheduler. Jobs that arrive from now on are accepted
+// with its classes.
+func (d *Dispatcher) changeSchedulerConfig() {
+	config := d.schedulerConfig()
+	d.addEvent(balance.ConfigChanged{Config: config})
+	if config.Check() == nil { // the scheduler keeps its configuration if it cannot use this one
+		d.defineClasses(config)
+	}
+}
+
+// defineClasses replaces the definitions with which jobs are accepted by those of a configuration.
+func (d *Dispatcher) defineClasses(config balance.Config) {
+	if d.classes == nil {
+		d.classes = map[string]*balance.Class{}
+	}
+	for _, class := range config.Classes {
+		d.classes[class.Name] = &class
+	}
+}
+
 // setSlowStartShare makes the scheduler use a fraction of its slow-start budgets. To workers the processes of an
 // upgrade are one dispatcher, and no process knows what another has sent.
 func (d *Dispatcher) setSlowStartShare(share float64) {
 	if d.slowStartShare != share {
 		d.slowStartShare = share
-		d.addEvent(balance.ConfigChanged{Config: d.schedulerConfig()})
+		d.changeSchedulerConfig()
 	}
 }
 
@@ -80,5 +101,5 @@
 		}
 	}
 	d.MaxWaits = waits
-	d.addEvent(balance.ConfigChanged{Config: d.schedulerConfig()})
+	d.changeSchedulerConfig()
 }
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -22,8 +22,7 @@
 	attempts          []upstream.Attempt // nil once the outcome is known
 	lastSentAt        float64            // when the last attempt was decided on
 	firstMayHaveRunAt float64            // when the first attempt that may have run was decided on; 0: none
-	atMostOnce        bool               // its class is not idempotent, or only with a key
-	dedupWindow       float64            // seconds in which it may be retried once it may have run; 0: no window
+	class             *balance.Class     // the definition with which it was accepted; not modified
 
 	submittedAt float64 // when it was submitted to the scheduler
 	submitStep  uint64  // the step that handles its submission; 0: still deferred
@@ -40,6 +39,17 @@
 	return false
 }
 
+// atMostOnce reports whether its class is not idempotent, or only with a key.
+func (r *request) atMostOnce() bool { return r.class.Idempotence != balance.Idempotent }
+
+// dedupWindow returns the seconds in which it may be retried once it may have run; 0: no window.
+func (r *request) dedupWindow() float64 {
+	if r.class.Idempotence != balance.IdempotentWithKey {
+		return 0
+	}
+	return r.class.DedupWindow
+}
+
 // size is what the scheduler charges a tenant for an attempt, in slots.
 func (r *request) size() float64 { return max(r.inbound.Slots, r.inbound.Memory, 1) }
 
@@ -115,18 +125,20 @@
 }
 
 func (d *Dispatcher) newRequest(in *downstream.Request) *request {
-	r := &request{
-		inbound:    in,
-		deadline:   d.unixSeconds(in.Arrived.Add(in.Timeout)),
-		atMostOnce: true,
-	}
-	if class, ok := d.class(in.Class); ok {
-		r.atMostOnce = class.Idempotence != string(balance.Idempotent)
-		if class.Idempotence == string(balance.IdempotentWithKey) {
-			r.dedupWindow = class.DedupWindow
-		}
+	return &request{
+		inbound:  in,
+		deadline: d.unixSeconds(in.Arrived.Add(in.Timeout)),
+		class:    d.classDefinition(in),
+	}
+}
+
+// classDefinition returns the present definition of a request's class.
+func (d *Dispatcher) classDefinition(in *downstream.Request) *balance.Class {
+	if class := d.classes[in.Class]; class != nil {
+		return class
 	}
-	return r
+	unknown := balance.UnknownClass(in.Class, in.Timeout.Seconds())
+	return &unknown
 }
 
 // submit passes a request to the scheduler with its remaining time. For a request that was deferred, the latency
@@ -146,6 +158,7 @@
 		Memory:    in.Memory,
 		Retry:     in.Retry,
 		StartsNow: wasDeferred,
+		Accepted:  r.class,
 	})
 }
 
