Agreed rules that tighten a class bind its waiting jobs and the window of retries

Need: rules that instances agree on restrict the retries of jobs under way (balance.ConfigChanged.TightenExisting), but only of those that the scheduler holds. The loop's own window for a retry of a keyed job stayed the one of the arrival, so a retry decided within a shorter one could be sent after it.

Change: when agreed rules change, the loop tightens the definitions of all its requests, those in pending arrivals too.

--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -34,7 +34,7 @@
 func (b *Balancer) tightenJobs() {
 	for _, j := range b.jobs {
 		if c := b.classes[j.class.Name]; c != nil {
-			j.class.tighten(c.Class)
+			j.class.Class = j.class.TightenedBy(c.Class)
 		}
 	}
 }
@@ -171,16 +171,17 @@
 	}
 }
 
-// tighten restricts the class's retries to those that another version of the class allows as well.
-func (c *Class) tighten(other Class) {
+// TightenedBy returns the definition with its retries restricted to those that another definition of the class
+// allows as well.
+func (c Class) TightenedBy(other Class) Class {
 	if other.Idempotence.restrictiveness() > c.Idempotence.restrictiveness() {
 		c.Idempotence = other.Idempotence
 		c.DedupScope = other.DedupScope
 		c.DedupWindow = other.DedupWindow
-		return
+		return c
 	}
 	if other.Idempotence != IdempotentWithKey || c.Idempotence != IdempotentWithKey {
-		return
+		return c
 	}
 	c.DedupWindow = min(c.DedupWindow, other.DedupWindow)
 	switch {
@@ -189,6 +190,7 @@
 	case other.DedupScope != ScopeAll && other.DedupScope != c.DedupScope:
 		c.DedupScope = "" // neither a zone nor a cell contains the other
 	}
+	return c
 }
 
 // restrictiveness returns a rank of the value: the higher, the fewer retries are allowed.
--- a/internal/dispatcher/acceptedclass_test.go
+++ b/internal/dispatcher/acceptedclass_test.go
@@ -100,3 +100,73 @@
 		}
 	}
 }
+
+// withDedupWindow returns an override that limits the window of keyed classes, in seconds.
+func withDedupWindow(window float64) func(*settings.Settings) *settings.Settings {
+	return func(platform *settings.Settings) *settings.Settings {
+		s := *platform
+		s.Classes = append([]settings.Class(nil), platform.Classes...)
+		for i := range s.Classes {
+			s.Classes[i].DedupWindow = min(s.Classes[i].DedupWindow, window)
+		}
+		return &s
+	}
+}
+
+func unchangedSettings(s *settings.Settings) *settings.Settings { return s }
+
+// An agreed configuration that allows fewer retries must bind the jobs that the scheduler does not hold yet as well,
+// whether they are deferred or arrived in the same turn, also after it is loosened again. One that allows more must not.
+func TestAgreedConfigBindsWaitingJobs(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after func(*settings.Settings) *settings.Settings
+		attempts      int
+	}{
+		"tightened": {unchangedSettings, allNonIdempotent, 1},
+		"loosened":  {allNonIdempotent, unchangedSettings, 1},
+		"unchanged": {unchangedSettings, unchangedSettings, 3},
+	} {
+		for _, deferred := range []bool{false, true} {
+			r := newDeferredRig(t)
+			r.ConfigSource = &configModel{before: &EffectiveConfig{Override: c.before}, after: &EffectiveConfig{Override: c.before}}
+			r.advance(20 * time.Millisecond)
+			if deferred {
+				r.startDelay = 500 * time.Millisecond
+			}
+			j := r.arrive("j", "safe", 5*time.Second)
+			r.ConfigSource = &configModel{after: &EffectiveConfig{Override: c.after}}
+			r.advance(20 * time.Millisecond)
+			if deferred {
+				r.ConfigSource = &configModel{after: &EffectiveConfig{Override: unchangedSettings}}
+			}
+			r.reportFreeSlots(1e6)
+			if got := r.attemptsUntilAnswer(j); got != c.attempts {
+				t.Errorf("%s, deferred %v: got %d attempts, want %d", name, deferred, got, c.attempts)
+			}
+		}
+	}
+}
+
+// An agreed configuration that shortens the window of a keyed class must bound the retries of jobs that may have run
+// already: a retry that was decided in the window must not be sent after its end.
+func TestShorterWindowBoundsRetries(t *testing.T) {
+	r := newDeferredRig(t)
+	r.ConfigSource = &configModel{after: &EffectiveConfig{Override: unchangedSettings}}
+	j := r.arrive("j", "keyed", 5*time.Second)
+	r.reportFreeSlots(1e6)
+	first := r.requests["j"].lastSentAt
+	r.ConfigSource = &configModel{after: &EffectiveConfig{Override: withDedupWindow(1)}}
+	r.advance(20 * time.Millisecond)
+	r.finishJob(j, balance.ConnectionLost)
+	for len(r.attemptRequests) == 1 && len(j.answers) == 0 {
+		r.advance(20 * time.Millisecond)
+		r.reportFreeSlots(1e6)
+	}
+	if len(r.attemptRequests) != 2 {
+		t.Fatalf("got %d attempts and answers %v, want a retry", len(r.attemptRequests), j.answers)
+	}
+	want := r.wallTime(first + 1)
+	if got := r.attemptRequests[1].SendBy; got.Sub(want).Abs() > time.Microsecond {
+		t.Errorf("the retry may be sent until %v after the first attempt, want 1 s", got.Sub(r.wallTime(first)))
+	}
+}
--- a/internal/dispatcher/effectiveconfig.go
+++ b/internal/dispatcher/effectiveconfig.go
@@ -48,10 +48,34 @@
 	}
 	d.rejectedConfig = nil
 	d.defineClasses(config)
+	d.tightenRequests()
 	d.prependConfigChange(balance.ConfigChanged{Config: config, TightenExisting: true})
 	d.ConfigSource.Acknowledge(next)
 }
 
+// tightenRequests restricts the retries of all requests, those that the scheduler has not got yet too, to those that
+// the present definitions of their classes allow as well. The scheduler does the same for the jobs that it holds.
+func (d *Dispatcher) tightenRequests() {
+	tightened := map[*balance.Class]*balance.Class{}
+	for _, r := range d.requests {
+		class := tightened[r.class]
+		if class == nil {
+			class = d.tightenedClass(r.class)
+			tightened[r.class] = class
+		}
+		r.class = class
+	}
+}
+
+func (d *Dispatcher) tightenedClass(class *balance.Class) *balance.Class {
+	present := d.classes[class.Name]
+	if present == nil {
+		return class
+	}
+	tightened := class.TightenedBy(*present)
+	return &tightened
+}
+
 // prependConfigChange places a change of the configuration before the pending events. Pending changes were derived
 // from the former configuration and would put it into force again. They are dropped, as the new change contains
 // all that they hold. Pending cordons are placed before the other events.
@@ -60,10 +84,12 @@
 	d.pendingEvents = []balance.Event{change}
 	var others []balance.Event
 	for _, e := range waiting {
-		switch e.(type) {
+		switch e := e.(type) {
 		case balance.ConfigChanged:
 		case balance.Cordon:
 			d.addEvent(e) // updateCordons adds to these
+		case balance.JobArrived:
+			others = append(others, d.withPresentClass(e))
 		default:
 			others = append(others, e)
 		}
@@ -72,6 +98,14 @@
 	d.pendingEvents = append(d.pendingEvents, others...)
 }
 
+// withPresentClass returns a pending arrival with the definition that its request has now.
+func (d *Dispatcher) withPresentClass(e balance.JobArrived) balance.JobArrived {
+	if r := d.requests[e.ID]; r != nil {
+		e.Accepted = r.class
+	}
+	return e
+}
+
 // effectiveSettings returns the settings with the agreed configuration applied.
 func (d *Dispatcher) effectiveSettings() *settings.Settings {
 	if d.effectiveConfig == nil {
