A job whose tenant moves keeps the class with which it was accepted

Need: ExportTenant and ImportTenant carried a job with the name of its class alone. A job that the scheduler held since before a change of its class got the present definition when its tenant was exported and imported again, as the shard router does with the jobs that arrived before there were shards: an unsafe job that may have run was sent again.

Change: JobState carries the definition, as JobArrived does. Without one the present definition of the name counts, as before.

--- a/balance/reconfigure_test.go
+++ b/balance/reconfigure_test.go
@@ -109,3 +109,42 @@
 		}
 	}
 }
+
+// A job whose tenant is exported and imported again must keep the class with which it was accepted, however the
+// configuration has changed since: its retries, its worker kind, and its unknown class.
+func TestMovedJobKeepsItsClass(t *testing.T) {
+	for name, c := range map[string]struct {
+		class string
+		sends int
+	}{
+		"write": {"write", 1}, // non-idempotent, idempotent in the new configuration
+		"read":  {"read", 3},  // idempotent, non-idempotent in the new configuration
+		"none":  {"none", 1},  // unknown, idempotent in the new configuration
+	} {
+		for _, moves := range []bool{false, true} {
+			r := newRig(t, testConfig(), runningWorkers("w", "v")...)
+			sent := actionsOf[Send](r.step(r.job(c.class, "a"), r.report("w", 4), r.report("v", 4)))
+			if len(sent) != 1 {
+				t.Fatalf("%s: got sends %v, want one", name, sent)
+			}
+			next := testConfig()
+			next.Classes[0].Idempotence, next.Classes[1].Idempotence = NonIdempotent, Idempotent
+			next.Classes = append(next.Classes, Class{Name: "none", LatencyObjective: 5, Idempotence: Idempotent})
+			r.step(ConfigChanged{Config: next})
+			if moves {
+				r.step(ImportTenant{State: r.b.exportTenant("a")})
+			}
+			for i := 0; i < 3; i++ {
+				all := actionsOf[Send](r.actions)
+				r.now += 0.1
+				r.step(done(all[len(all)-1], i, ConnectionLost), r.report("w", 4), r.report("v", 4))
+				if len(actionsOf[Send](r.actions)) == len(all) {
+					break
+				}
+			}
+			if got := len(actionsOf[Send](r.actions)); got != c.sends {
+				t.Errorf("%s, moved %v: got %d sends, want %d by the class of its arrival", name, moves, got, c.sends)
+			}
+		}
+	}
+}
--- a/balance/transfer.go
+++ b/balance/transfer.go
@@ -44,6 +44,7 @@
 type JobState struct {
 	ID              string
 	Class           string
+	Accepted        *Class // the class with which it was accepted; nil: the present one of the name; not modified
 	Slots           float64
 	Memory          float64
 	Age             float64 // time since its arrival
@@ -90,10 +91,18 @@
 		TokensAge:    b.now - t.refilledAt,
 		Jobs:         make([]JobState, 0, t.queue.count),
 	}
+	definitions := map[*class]*Class{}
 	for _, j := range b.jobs {
-		if j.tenant == t {
-			state.Jobs = append(state.Jobs, b.exportJob(j))
+		if j.tenant != t {
+			continue
+		}
+		if definitions[j.class] == nil {
+			definition := j.class.Class
+			definitions[j.class] = &definition
 		}
+		exported := b.exportJob(j)
+		exported.Accepted = definitions[j.class]
+		state.Jobs = append(state.Jobs, exported)
 	}
 	t.queue = queue{} // removing 20,000 jobs one by one would take a tenth of a second
 	slices.SortFunc(state.Jobs, func(x, y JobState) int {
@@ -106,7 +115,8 @@
 	return state
 }
 
-// exportJob removes a job and returns its state. It does not remove the job from its tenant's queue.
+// exportJob removes a job and returns its state, without the definition of its class. It does not remove the job from
+// its tenant's queue.
 func (b *Balancer) exportJob(j *job) JobState {
 	state := JobState{
 		ID:              j.id,
@@ -211,7 +221,7 @@
 func (b *Balancer) importJob(t *tenant, s JobState) *job {
 	j := &job{
 		id:               s.ID,
-		class:            b.classOf(s.Class, nil, s.Age+s.TimeLeft),
+		class:            b.classOf(s.Class, s.Accepted, s.Age+s.TimeLeft),
 		tenant:           t,
 		firstRequestedAt: b.now - s.FirstRequestAge,
 		arrivedAt:        b.now - s.Age,
