Jobs still find workers of their kind after a reload frees their class of it

Need: the scan of workers ends early unless a configured class runs on one kind of worker only. A job of a class that a reload freed of its kind keeps the kind, but the scan did not look for its worker any more: with 100 other workers ranked first it was not sent within 5 s. A deferred job that keeps its class met the same.

Change: the classes of jobs that are kept from former configurations count too, as long as they have jobs.

Measured: TestWorkerKindOfAcceptedJobIsFound fails without the change in both cases (queued before, or accepted before and deferred), and passes with it.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -35,7 +35,7 @@
 	healthCheckBudget float64 // priority weight that may be spent on health checks
 
 	anyIdempotent   bool    // at least one class is idempotent
-	anyWorkerKind   bool    // at least one class runs on one kind of worker only
+	anyWorkerKind   bool    // at least one class, present or former, runs on one kind of worker only
 	maxVisibleSlots float64 // upper bound of an estimate of free slots: 1 without load reports
 }
 
--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -69,7 +69,7 @@
 }
 
 // pruneFormerClasses drops the former classes that no job has. The others get the present MaxWait of their
-// name, like a class that is replaced.
+// name, like a class that is replaced, and their jobs still need workers of their kind.
 func (b *Balancer) pruneFormerClasses() {
 	inUse := map[*class]bool{}
 	for _, j := range b.jobs {
@@ -82,6 +82,7 @@
 			delete(b.formerClasses, name)
 		}
 		for _, c := range former {
+			b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
 			if present := b.classes[name]; present != nil {
 				c.MaxWait = present.MaxWait
 			}
@@ -144,6 +145,7 @@
 		c.runTime = present.runTime
 	}
 	b.formerClasses[name] = append(b.formerClasses[name], c)
+	b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
 	return c
 }
 
--- a/balance/reconfigure_test.go
+++ b/balance/reconfigure_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 )
@@ -148,3 +149,45 @@
 		}
 	}
 }
+
+// A job whose class runs on one kind of worker must still reach a worker of that kind after a new configuration frees
+// the class of it, however many other workers are ranked first, whether it was queued before or accepted before.
+func TestWorkerKindOfAcceptedJobIsFound(t *testing.T) {
+	for _, queued := range []bool{false, true} {
+		cfg := testConfig()
+		cfg.Classes[0].WorkerKind = "gpu"
+		accepted := cfg.Classes[0]
+		var workers []WorkerInfo
+		for i := range 100 {
+			workers = append(workers, WorkerInfo{ID: fmt.Sprint("w", i), Zone: "here", Kind: "k", State: Running})
+		}
+		r := newRig(t, cfg, append(workers, WorkerInfo{ID: "g", Zone: "here", Kind: "gpu", State: Running})...)
+		job := r.job("read", "a")
+		job.Accepted = &accepted
+		if queued {
+			r.step(job) // no worker has reported free slots yet
+		}
+		r.step(ConfigChanged{Config: testConfig()})
+		if !queued {
+			r.step(job)
+		}
+		for range 50 {
+			checks := actionsOf[HealthCheck](r.actions)
+			r.now += 0.1
+			r.actions = nil
+			for _, check := range checks {
+				r.step(r.report(check.Worker, 4))
+			}
+			r.step(TimerFired{})
+			if sent := actionsOf[Send](r.actions); len(sent) > 0 {
+				if sent[0].Worker != "g" {
+					t.Errorf("queued before %v: sent to %s, want the worker of its kind", queued, sent[0].Worker)
+				}
+				break
+			}
+		}
+		if len(actionsOf[Send](r.actions)) == 0 {
+			t.Errorf("queued before %v: not sent within 5 s", queued)
+		}
+	}
+}
