With shards a job keeps the class with which its origin accepted it

Callers saw: with settings or agreed rules that differ between the instance that accepts a job and the owner of its shard, as between two reloads, the owner retried by its own definition of the class. Only "unsafe" was checked at the origin. After agreed rules made a class unsafe, an origin executed the grants of an owner that did not know yet: jobs under way that may have run were sent again. The other way round, jobs that were accepted as safe failed at their first broken connection.

Cause: the record of a job (updates, transfers between owners) names the class, and each owner looks the name up: when it takes up the update, which may be late, and again when the queue moves.

Change: records carry the definition with which the origin accepted the job, once for each definition in a message, and the owner's scheduler uses it. Agreed rules that tighten a class bind the origin's records, the owner's, the updates that wait for the owner's scheduler, and jobs from before there were shards that are being moved; the origin reports the change and the owner imports the job again. Builds that do not know the field ignore it, and a record without it is judged as before, with "unsafe" restricting the owner's definition too.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -125,13 +125,7 @@
 
 // retryIsHarmless reports whether the client may safely send the job again, to any dispatcher.
 func (j *job) retryIsHarmless() bool {
-	switch {
-	case j.class.Idempotence == Idempotent:
-		return true
-	case !j.mayHaveRun && j.inFlight == 0:
-		return true
-	}
-	return j.class.Idempotence == IdempotentWithKey && j.class.DedupScope == ScopeAll
+	return !j.mayHaveRun && j.inFlight == 0 || j.class.RetryIsHarmless()
 }
 
 // retryAfter returns how long, in seconds, a rejected client is advised to wait: a fraction
--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -195,6 +195,45 @@
 	return c
 }
 
+// Tightening restricts definitions with which jobs were accepted by those that are present now. It restricts each
+// definition once, so that jobs keep sharing one. Create one with NewTightening for each change.
+type Tightening struct {
+	present   func(name string) *Class
+	tightened map[*Class]*Class
+}
+
+// NewTightening returns a Tightening by the definitions that present returns by name; nil means that it has none.
+func NewTightening(present func(name string) *Class) *Tightening {
+	return &Tightening{
+		present:   present,
+		tightened: map[*Class]*Class{},
+	}
+}
+
+// Apply returns the restricted definition. It is the same pointer if nothing changes. Nil stays nil.
+func (t *Tightening) Apply(accepted *Class) *Class {
+	if accepted == nil {
+		return nil
+	}
+	if known := t.tightened[accepted]; known != nil {
+		return known
+	}
+	result := accepted
+	if present := t.present(accepted.Name); present != nil {
+		if restricted := accepted.TightenedBy(*present); restricted != *accepted {
+			result = &restricted
+		}
+	}
+	t.tightened[accepted] = result
+	return result
+}
+
+// RetryIsHarmless reports whether a client may send a job of the class again, to any dispatcher, even if the job may
+// have run.
+func (c *Class) RetryIsHarmless() bool {
+	return c.Idempotence == Idempotent || c.Idempotence == IdempotentWithKey && c.DedupScope == ScopeAll
+}
+
 // restrictiveness returns a rank of the value: the higher, the fewer retries are allowed.
 func (i Idempotence) restrictiveness() int {
 	switch i {
--- a/balance/reconfigure_test.go
+++ b/balance/reconfigure_test.go
@@ -135,7 +135,7 @@
 			if moves {
 				r.step(ImportTenant{State: r.b.exportTenant("a")})
 			}
-			for i := 0; i < 3; i++ {
+			for i := range 3 {
 				all := actionsOf[Send](r.actions)
 				r.now += 0.1
 				r.step(done(all[len(all)-1], i, ConnectionLost), r.report("w", 4), r.report("v", 4))
--- a/internal/cluster/shard/joblog.go
+++ b/internal/cluster/shard/joblog.go
@@ -105,6 +105,16 @@
 	return nil
 }
 
+// Tighten restricts the retries of all open jobs to those that a change of the agreed rules allows, and reports the
+// restricted definitions to the owner.
+func (l *JobLog) Tighten(t *balance.Tightening) {
+	for _, j := range l.jobs {
+		if !j.Finished && j.tighten(t) {
+			l.markChanged(j)
+		}
+	}
+}
+
 func (l *JobLog) markChanged(j *loggedJob) {
 	if !j.queued {
 		j.queued = true
--- a/internal/cluster/shard/owner.go
+++ b/internal/cluster/shard/owner.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"example.org/bellstream/balance"
 )
 
 // State is the state of an Owner.
@@ -264,6 +266,14 @@
 	return updates
 }
 
+// Tighten restricts the retries of all jobs to those that a change of the agreed rules allows. Their origins do the
+// same, and report it.
+func (o *Owner) Tighten(t *balance.Tightening) {
+	for _, j := range o.jobs {
+		j.tighten(t)
+	}
+}
+
 // Origins returns the origins of the known jobs, sorted.
 func (o *Owner) Origins() []string {
 	all := map[string]bool{}
--- a/internal/cluster/shard/record.go
+++ b/internal/cluster/shard/record.go
@@ -30,16 +30,19 @@
 	Origin     string // incarnation of an instance: a restarted instance is another origin
 	Slots      float64
 	Memory     float64
-	Timeout    float64   // seconds until the client gives up
-	Age        float64   // seconds since the origin accepted it
-	Order      uint64    // order of arrival among its origin's jobs of the shard
-	Retry      bool      // the client has sent the request before
-	StartsNow  bool      // its age counts from now, even if a part of its timeout has passed
-	AtMostOnce bool      // it must not run twice
-	Admitted   bool      // an owner has admitted it: it is not rejected for lack of capacity any more
-	Granted    bool      // a former owner granted the next attempt; the origin has not reported yet whether it began
-	Finished   bool      // it needs no answer any more
-	Attempts   []Attempt // oldest first; never modified in place
+	Timeout    float64 // seconds until the client gives up
+	Age        float64 // seconds since the origin accepted it
+	Order      uint64  // order of arrival among its origin's jobs of the shard
+	Retry      bool    // the client has sent the request before
+	StartsNow  bool    // its age counts from now, even if a part of its timeout has passed
+	AtMostOnce bool    // it must not run twice
+	// Accepted is the definition of its class with which the origin accepted it. It is never modified in place. Nil:
+	// the origin's build does not report it.
+	Accepted *balance.Class
+	Admitted bool      // an owner has admitted it: it is not rejected for lack of capacity any more
+	Granted  bool      // a former owner granted the next attempt; the origin has not reported yet whether it began
+	Finished bool      // it needs no answer any more
+	Attempts []Attempt // oldest first; never modified in place
 }
 
 // InFlight reports whether an attempt is in flight.
@@ -52,6 +55,17 @@
 	return slices.ContainsFunc(r.Attempts, func(a Attempt) bool { return a.MayHaveRun })
 }
 
+// tighten restricts the job's retries and reports whether that changed anything.
+func (r *JobRecord) tighten(t *balance.Tightening) bool {
+	tightened := t.Apply(r.Accepted)
+	if tightened == r.Accepted {
+		return false
+	}
+	r.Accepted = tightened
+	r.AtMostOnce = r.AtMostOnce || tightened.Idempotence == balance.NonIdempotent
+	return true
+}
+
 // advancedBy returns the record with its times as they are some seconds later.
 func (r JobRecord) advancedBy(seconds float64) JobRecord {
 	r.Timeout -= seconds
@@ -115,7 +129,7 @@
 	return xxhash.Sum64(b)
 }
 
-// contentDigest covers every field of the record.
+// contentDigest covers every field of the record but Accepted, which builds that do not know it can't include.
 func (r *JobRecord) contentDigest(buffer []byte) uint64 {
 	b := buffer[:0]
 	for _, s := range []string{r.ID, r.Class, r.Tenant, r.Origin} {
--- a/internal/cluster/shard/wire/decode.go
+++ b/internal/cluster/shard/wire/decode.go
@@ -120,7 +120,7 @@
 		Origin:       d.origin,
 		First:        m.GetFirst(),
 		SnapshotSize: m.GetSnapshotSize(),
-		Records:      d.records(m.GetRecords()),
+		Records:      d.records(m.GetRecords(), m.GetClasses()),
 	}
 }
 
@@ -150,7 +150,7 @@
 		Index:          int(m.Index),
 		Count:          int(m.Count),
 		Age:            d.finite(m.Age),
-		Records:        d.records(m.Records),
+		Records:        d.records(m.Records, m.Classes),
 		Checksum:       checksum(m.Checksum),
 		TotalChecksum:  checksum(m.TotalChecksum),
 	}
@@ -264,13 +264,16 @@
 
 // records decodes the records of an update, which all belong to the origin of the
 // envelope, or of a chunk, where each record names its own origin.
-func (d *decoder) records(messages []*RecordMessage) []shard.JobRecord {
+func (d *decoder) records(messages []*RecordMessage, definitions []*ClassMessage) []shard.JobRecord {
 	d.require(len(messages) <= shard.MaxChunkRecords)
+	d.require(len(definitions) <= shard.MaxChunkRecords)
 	if d.invalid || len(messages) == 0 {
 		return nil
 	}
 	records := make([]shard.JobRecord, len(messages))
+	classes := d.classes(definitions)
 	for i, m := range messages {
+		records[i].Accepted = d.acceptedClass(classes, m.GetAccepted())
 		if !d.fillRecord(&records[i], m) {
 			return nil
 		}
--- a/internal/cluster/shard/wire/encode.go
+++ b/internal/cluster/shard/wire/encode.go
@@ -69,10 +69,12 @@
 }
 
 func jobUpdateMessage(u shard.JobUpdate) *JobUpdateMessage {
+	var classes classTable
 	return &JobUpdateMessage{
 		First:        u.First,
 		SnapshotSize: u.SnapshotSize,
-		Records:      recordMessages(u.Records, false),
+		Records:      recordMessages(u.Records, false, &classes),
+		Classes:      classes.messages,
 	}
 }
 
@@ -85,13 +87,15 @@
 }
 
 func chunkMessage(c shard.Chunk) *ChunkMessage {
+	var classes classTable
 	m := &ChunkMessage{
 		TransferNumber: c.TransferNumber,
 		Target:         []byte(c.Target),
 		Index:          uint32(c.Index),
 		Count:          uint32(c.Count),
 		Age:            c.Age,
-		Records:        recordMessages(c.Records, true),
+		Records:        recordMessages(c.Records, true, &classes),
+		Classes:        classes.messages,
 		Checksum:       checksumMessage(c.Checksum),
 		TotalChecksum:  checksumMessage(c.TotalChecksum),
 	}
@@ -173,11 +177,12 @@
 
 // recordMessages converts records, with one allocation for all messages. Updates
 // carry the origin in their envelope instead of in each record.
-func recordMessages(records []shard.JobRecord, withOrigin bool) []*RecordMessage {
+func recordMessages(records []shard.JobRecord, withOrigin bool, classes *classTable) []*RecordMessage {
 	all := make([]RecordMessage, len(records))
 	out := make([]*RecordMessage, len(records))
 	for i := range records {
 		fillRecord(&all[i], &records[i])
+		all[i].Accepted = classes.index(records[i].Accepted)
 		if withOrigin {
 			all[i].Origin = []byte(records[i].Origin)
 		}
--- a/internal/cluster/shard/wire/golden_test.go
+++ b/internal/cluster/shard/wire/golden_test.go
@@ -40,6 +40,27 @@
 	},
 }
 
+// goldenClass has a distinct value in every field but MaxWait, which is not sent.
+var goldenClass = balance.Class{
+	Name:               "interactive",
+	LatencyObjective:   1.5,
+	ObjectiveStretch:   2.25,
+	Deadline:           30,
+	PriorityWeight:     3,
+	LateWeightFraction: 0.125,
+	Idempotence:        balance.IdempotentWithKey,
+	DedupScope:         balance.ScopeCell,
+	DedupWindow:        12,
+	WorkerKind:         "large",
+}
+
+// recordWithClass returns goldenRecord as an origin reports it that reports classes.
+func recordWithClass(class balance.Class) shard.JobRecord {
+	r := goldenRecord
+	r.Accepted = &class
+	return r
+}
+
 func goldenChecksums() []shard.Checksum {
 	sums := make([]shard.Checksum, shard.BucketCount)
 	for i := range sums {
@@ -60,6 +81,8 @@
 
 	"tell": shard.JobUpdate{Shard: 7, Epoch: 3, Origin: "a#11", First: 4, SnapshotSize: 8,
 		Records: []shard.JobRecord{goldenRecord, {ID: "job-2", Origin: "a#11", Finished: true}}},
+	"tell-classes": shard.JobUpdate{Shard: 7, Epoch: 3, Origin: "a#11", First: 4, SnapshotSize: 8,
+		Records: []shard.JobRecord{recordWithClass(goldenClass), goldenRecord, recordWithClass(balance.Class{Name: "batch"}), recordWithClass(goldenClass)}},
 	"tell-empty":    shard.JobUpdate{Epoch: 1, Origin: "a"},
 	"ack":           shard.Ack{Shard: 7, Epoch: 3, Origin: "a#11", Next: 5},
 	"ack-empty":     shard.Ack{Epoch: 1, Origin: "a"},
@@ -72,6 +95,7 @@
 		Tags:          []shard.TenantTags{{Tenant: "tenant-1", Local: -1.5, Global: 2.75}},
 		Checksum:      shard.Checksum{Count: 2, Digest: 5},
 		TotalChecksum: shard.Checksum{Count: 258, Digest: 6}},
+	"piece-classes": shard.Chunk{Shard: 7, Epoch: 3, TransferNumber: 2, Target: "b#12", Count: 1, Records: []shard.JobRecord{recordWithClass(goldenClass)}},
 	"piece-empty":   shard.Chunk{Epoch: 1, Target: "b", Count: 1},
 	"took":          shard.ChunkAck{Shard: 7, Epoch: 3, TransferNumber: 2, Next: 4},
 	"took-empty":    shard.ChunkAck{Epoch: 1},
--- a/internal/cluster/shard/wire/wire_test.go
+++ b/internal/cluster/shard/wire/wire_test.go
@@ -81,6 +81,8 @@
 		"unknown kind":           shard.Grant{Epoch: 1, Origin: "h", ID: "j", Kind: "other"},
 		"no id":                  update(func(e *shard.JobRecord) { e.ID = "" }),
 		"long id":                update(func(e *shard.JobRecord) { e.ID = long }),
+		"NaN in a class":         update(func(e *shard.JobRecord) { e.Accepted = &balance.Class{DedupWindow: math.NaN()} }),
+		"long name in a class":   update(func(e *shard.JobRecord) { e.Accepted = &balance.Class{WorkerKind: long} }),
 		"NaN timeout":            update(func(e *shard.JobRecord) { e.Timeout = math.NaN() }),
 		"long report": update(func(e *shard.JobRecord) {
 			e.Attempts = []shard.Attempt{{Report: make([]float64, shard.MaxReportValues+1)}}
@@ -107,7 +109,9 @@
 		raw  []byte
 		want error
 	}{
-		"too large":               {make([]byte, MaxMessage+1), ErrTooLarge},
+		"too large": {make([]byte, MaxMessage+1), ErrTooLarge},
+		"class index too large": {marshal(&Envelope{Epoch: 1, Origin: []byte("h"), Body: &Envelope_JobUpdate{&JobUpdateMessage{
+			Classes: []*ClassMessage{{}}, Records: []*RecordMessage{{Id: []byte("j"), Accepted: 2}}}}}), ErrCorrupt},
 		"not protobuf":            {[]byte{0xff}, ErrCorrupt},
 		"newer version":           {marshal(&Envelope{MinVersion: Version + 1}), ErrUnsupportedVersion},
 		"no body":                 {marshal(&Envelope{Epoch: 1, Origin: []byte("h")}), ErrCorrupt},
--- a/internal/cluster/shardrouter/balancing.go
+++ b/internal/cluster/shardrouter/balancing.go
@@ -91,6 +91,9 @@
 	var unsharded []balance.JobState
 	for _, job := range state.Jobs {
 		if _, _, ok := r.parseJobKey(job.ID); !ok {
+			if r.batch.tightening != nil { // the balancer exported the job before it tightened the others
+				job.Accepted = r.batch.tightening.Apply(job.Accepted)
+			}
 			unsharded = append(unsharded, job)
 		}
 	}
@@ -203,6 +206,7 @@
 		started:  len(record.Attempts),
 		finished: len(record.Attempts),
 		deadline: r.Now() + record.Timeout,
+		class:    r.settings.classOf(&record),
 	}
 	sh.owned.jobViews[key] = view
 	if pending && (grant.Kind == shard.Reject || grant.Kind == shard.Fail) {
@@ -211,6 +215,7 @@
 	}
 	r.settings.recordTimeout(record.Class, record.Timeout+record.Age)
 	job := r.settings.jobState(&record)
+	job.Accepted = view.class
 	job.ID = r.jobKey(sh, key)
 	for i := range record.Attempts {
 		r.settings.addAttempt(&job, view, &record, i)
@@ -257,7 +262,7 @@
 		state.StartedAge = a.RunningFor
 	case !state.Done:
 		view.started = i
-		state.AwaitingStart = s.startNotifications && !s.atMostOnce(record.Class)
+		state.AwaitingStart = s.startNotifications && view.mayRunTwice()
 	}
 	if !state.Done {
 		view.finished = i
--- a/internal/cluster/shardrouter/localjobs.go
+++ b/internal/cluster/shardrouter/localjobs.go
@@ -10,13 +10,13 @@
 
 // localJob is a sharded job that this instance accepted.
 type localJob struct {
-	shard       *shardState
-	id          string
-	deadline    float64 // when its client gives up
-	retryIsSafe bool    // a retry is safe even if the job may have run
-	mayHaveRun  bool    // an ended attempt may have run
-	inFlight    bool    // an attempt is in flight
-	finished    bool    // the client has been answered or has disconnected
+	shard      *shardState
+	id         string
+	deadline   float64        // when its client gives up
+	class      *balance.Class // the definition with which it was accepted
+	mayHaveRun bool           // an ended attempt may have run
+	inFlight   bool           // an attempt is in flight
+	finished   bool           // the client has been answered or has disconnected
 }
 
 // handleArrival accepts a job for its shard, or rejects it if it can't be reported
@@ -36,7 +36,11 @@
 
 // accept adds a job to its shard's log, and reports whether it could.
 func (r *Router) accept(now float64, sh *shardState, e balance.JobArrived) bool {
-	if !validNames(e) || r.shuttingDown || sh.origin.ownerUnresponsive || r.withoutLease() {
+	class := e.Accepted
+	if class == nil {
+		class = r.settings.acceptedClass(e.Class, e.Timeout)
+	}
+	if !validNames(e, class) || r.shuttingDown || sh.origin.ownerUnresponsive || r.withoutLease() {
 		return false
 	}
 	err := sh.jobLog.Add(now, shard.JobRecord{
@@ -46,7 +50,8 @@
 		Timeout:    e.Timeout,
 		Slots:      e.Slots,
 		Memory:     e.Memory,
-		AtMostOnce: r.settings.atMostOnce(e.Class),
+		AtMostOnce: class.Idempotence == balance.NonIdempotent,
+		Accepted:   class,
 		Retry:      e.Retry,
 		StartsNow:  e.StartsNow,
 	})
@@ -54,10 +59,10 @@
 		return false
 	}
 	r.localJobs[e.ID] = &localJob{
-		shard:       sh,
-		id:          e.ID,
-		deadline:    now + e.Timeout,
-		retryIsSafe: r.settings.retryIsSafe(e.Class),
+		shard:    sh,
+		id:       e.ID,
+		deadline: now + e.Timeout,
+		class:    class,
 	}
 	sh.origin.localJobs++
 	sh.active.Store(true)
@@ -65,10 +70,12 @@
 	return true
 }
 
-// validNames reports whether a job's id, class and tenant fit in a message, and
-// whether its id can be part of a job key.
-func validNames(e balance.JobArrived) bool {
+// validNames reports whether a job's id, class and tenant and the names in the
+// definition of its class fit in a message, and whether its id can be part of a
+// job key.
+func validNames(e balance.JobArrived, class *balance.Class) bool {
 	longest := max(len(e.ID), len(e.Class), len(e.Tenant))
+	longest = max(longest, len(class.Name), len(class.DedupScope), len(class.WorkerKind))
 	return e.ID != "" && longest <= wire.MaxName && !strings.Contains(e.ID, keySeparator)
 }
 
@@ -158,7 +165,7 @@
 // answerLocally answers a job without a grant of its owner: it rejects the job if
 // a retry is safe, otherwise it fails the job. The lock of the job's shard is held.
 func (r *Router) answerLocally(job *localJob) {
-	if (job.mayHaveRun || job.inFlight) && !job.retryIsSafe {
+	if (job.mayHaveRun || job.inFlight) && !job.class.RetryIsHarmless() {
 		r.actions = append(r.actions, balance.Fail{ID: job.id})
 	} else {
 		r.actions = append(r.actions, balance.Reject{ID: job.id, RetryAfter: r.settings.retryAfter(r.RetryAfter)})
--- a/internal/cluster/shardrouter/router.go
+++ b/internal/cluster/shardrouter/router.go
@@ -97,16 +97,17 @@
 // stepBatch collects the events of a step for the balancer. The balancer receives
 // undo, then tenantEvents, then local.
 type stepBatch struct {
-	undo         []balance.Event // revert the balancer's decisions that were not granted
-	tenantEvents []balance.Event // import or export tenants, and update their quota
-	local        []balance.Event // events that belong to no shard
-	events       []balance.Event // all of the above, and the events from owners
+	tightening   *balance.Tightening // by a configuration of this step; nil: none
+	undo         []balance.Event     // revert the balancer's decisions that were not granted
+	tenantEvents []balance.Event     // import or export tenants, and update their quota
+	local        []balance.Event     // events that belong to no shard
+	events       []balance.Event     // all of the above, and the events from owners
 }
 
 // settings are the parts of the balancer's configuration that the router uses.
 type settings struct {
-	classes              map[string]balance.Class
-	overloadedMayHaveRun bool // an Overloaded outcome does not prove that a job never ran
+	classes              map[string]*balance.Class // not modified
+	overloadedMayHaveRun bool                      // an Overloaded outcome does not prove that a job never ran
 	startNotifications   bool
 	maxRetryAfter        float64            // the longest Retry-After that clients honour, in seconds
 	tenants              []string           // the configured tenants that are in shards
@@ -138,9 +139,9 @@
 
 func (r *Router) configure(c balance.Config) {
 	s := &r.settings
-	s.classes = map[string]balance.Class{}
+	s.classes = map[string]*balance.Class{}
 	for _, class := range c.Classes {
-		s.classes[class.Name] = class
+		s.classes[class.Name] = &class
 	}
 	s.overloadedMayHaveRun = c.OverloadedMayHaveRun
 	s.startNotifications = c.StartNotifications
@@ -153,19 +154,30 @@
 	}
 }
 
-// atMostOnce reports whether a job of a class must not run twice. It is true for
-// an unknown class.
-func (s *settings) atMostOnce(class string) bool {
-	c, known := s.classes[class]
-	return !known || c.Idempotence == balance.NonIdempotent
+// acceptedClass returns the definition with which a job that arrives now is
+// accepted, for an arrival that carries none.
+func (s *settings) acceptedClass(name string, timeout float64) *balance.Class {
+	if class := s.classes[name]; class != nil {
+		return class
+	}
+	unknown := balance.UnknownClass(name, timeout)
+	return &unknown
 }
 
-// retryIsSafe reports whether a client may retry a job of a class on any
-// instance, even if the job may have run.
-func (s *settings) retryIsSafe(class string) bool {
-	c := s.classes[class]
-	return c.Idempotence == balance.Idempotent ||
-		c.Idempotence == balance.IdempotentWithKey && c.DedupScope == balance.ScopeAll
+// classOf returns the definition with which a job was accepted, for the balancer.
+// If its origin's build does not report it, the result is the present definition
+// here, restricted by what that build does report; nil if there is none.
+func (s *settings) classOf(record *shard.JobRecord) *balance.Class {
+	present := s.classes[record.Class]
+	switch {
+	case record.Accepted != nil:
+		return record.Accepted
+	case present == nil || !record.AtMostOnce || present.Idempotence == balance.NonIdempotent:
+		return present
+	}
+	restricted := *present
+	restricted.Idempotence = balance.NonIdempotent
+	return &restricted
 }
 
 // recordTimeout updates the longest timeout of a class with that of a job. The
--- a/internal/cluster/shardrouter/sim_node_test.go
+++ b/internal/cluster/shardrouter/sim_node_test.go
@@ -227,6 +227,9 @@
 	}
 	w.free--
 	switch x := s.rng.Float64(); {
+	case s.breakFirstRun && j.runs == 0:
+		n.recordRun(j)
+		n.scheduleEnd(j, 0.05, balance.ConnectionLost)
 	case s.reliableWorkers:
 		n.recordRun(j)
 		n.scheduleEnd(j, 0.1, balance.Served)
@@ -253,6 +256,7 @@
 }
 
 func (n *node) recordRun(j *simJob) {
+	j.ranOn = append(j.ranOn, j.worker)
 	if j.runs++; j.runs > 1 && j.class == "write" {
 		n.s.fail("job %s, which is not idempotent, ran twice", j.id)
 	}
--- a/internal/cluster/shardrouter/sim_test.go
+++ b/internal/cluster/shardrouter/sim_test.go
@@ -48,6 +48,8 @@
 	epochs          map[string]uint64                                           // epochs of transmitted grants, by job and attempt
 	reliableWorkers bool                                                        // attempts never fail
 	skipGrantChecks bool                                                        // origins execute every Send without checking the grant
+	breakFirstRun   bool                                                        // the first run of each job loses its connection
+	zones           map[string]string                                           // zones of workers
 	frames          float64                                                     // number of frames that instances have sent
 	bytes           float64                                                     // bytes of these frames
 }
@@ -84,8 +86,9 @@
 	runs, inFlight, answers int
 	attempts                int
 	worker                  string
-	grantedAt               float64 // time of the first grant; 0: none
-	answered, abandoned     bool    // abandoned: its origin has crashed
+	ranOn                   []string // workers
+	grantedAt               float64  // time of the first grant; 0: none
+	answered, abandoned     bool     // abandoned: its origin has crashed
 }
 
 // node is a simulated instance.
@@ -148,7 +151,7 @@
 func (s *sim) endpointUpdate() balance.EndpointUpdate {
 	u := balance.EndpointUpdate{Kind: balance.EndpointsCached}
 	for _, w := range slices.Sorted(maps.Keys(s.workers)) {
-		u.Workers = append(u.Workers, balance.WorkerInfo{ID: w, State: balance.Running})
+		u.Workers = append(u.Workers, balance.WorkerInfo{ID: w, Zone: s.zones[w], State: balance.Running})
 	}
 	return u
 }
--- a/internal/cluster/shardrouter/state.go
+++ b/internal/cluster/shardrouter/state.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/cluster/shard"
 )
 
@@ -108,11 +109,12 @@
 // jobView is the balancer's view of a job in a shard that this instance owns.
 type jobView struct {
 	tenant   string
-	attempts int     // number of attempts, including granted ones that may not have begun
-	started  int     // the starts of the attempts below this index were passed to the balancer
-	finished int     // the ends of the attempts below this index were passed to the balancer
-	answered bool    // the balancer has decided the job's answer, or the job has expired
-	deadline float64 // when the job's client gives up
+	attempts int            // number of attempts, including granted ones that may not have begun
+	started  int            // the starts of the attempts below this index were passed to the balancer
+	finished int            // the ends of the attempts below this index were passed to the balancer
+	answered bool           // the balancer has decided the job's answer, or the job has expired
+	deadline float64        // when the job's client gives up
+	class    *balance.Class // the definition that the balancer has of its class; nil: the present one
 }
 
 func newShardState(r *Router, number int) *shardState {
--- a/internal/cluster/shardrouter/step.go
+++ b/internal/cluster/shardrouter/step.go
@@ -9,6 +9,7 @@
 func (r *Router) Step(now float64, events []balance.Event) []balance.Action {
 	r.actions = r.actions[:0]
 	r.batch.local = r.batch.local[:0]
+	r.batch.tightening = nil
 	r.needsStep = false
 	former := r.activeTable
 	r.adoptTable(now)
@@ -157,12 +158,47 @@
 
 func (r *Router) handleConfigChanged(e balance.ConfigChanged) {
 	r.configure(e.Config)
+	if e.TightenExisting {
+		r.tightenJobs()
+	}
 	r.batch.local = append(r.batch.local, e)
 	for _, tenant := range r.settings.tenants {
 		r.batch.local = append(r.batch.local, r.quotaUpdate(tenant))
 	}
 }
 
+// tightenJobs restricts the retries of the jobs accepted here and of those of the
+// shards owned here to what the present configuration allows. The balancer does
+// the same for the jobs that it holds.
+func (r *Router) tightenJobs() {
+	tightening := balance.NewTightening(func(name string) *balance.Class { return r.settings.classes[name] })
+	r.batch.tightening = tightening
+	for _, job := range r.localJobs {
+		job.class = tightening.Apply(job.class)
+	}
+	for _, sh := range r.allShards() {
+		sh.Lock()
+		sh.tighten(tightening)
+		sh.Unlock()
+	}
+}
+
+// tighten restricts the retries of the shard's jobs. The shard's lock is held.
+func (sh *shardState) tighten(tightening *balance.Tightening) {
+	sh.jobLog.Tighten(tightening)
+	sh.owner.Tighten(tightening)
+	for _, view := range sh.owned.jobViews {
+		view.class = tightening.Apply(view.class)
+	}
+	for i, e := range sh.owned.updates {
+		if u, ok := e.(jobUpdated); ok {
+			u.Accepted = tightening.Apply(u.Accepted)
+			sh.owned.updates[i] = u
+		}
+	}
+	sh.router.markChanged(sh)
+}
+
 // quotaUpdate returns the part of a tenant's reservation that the balancer here
 // may use: all of it if the balancer schedules the tenant's shard, otherwise
 // none.
--- a/internal/cluster/shardrouter/updates.go
+++ b/internal/cluster/shardrouter/updates.go
@@ -62,7 +62,8 @@
 // introduceNewJob passes a job to the balancer that no owner has admitted before.
 func (sh *shardState) introduceNewJob(now float64, key shard.JobKey, u shard.Update) {
 	r := sh.router
-	sh.owned.jobViews[key] = &jobView{tenant: u.Tenant, deadline: now + u.Timeout}
+	class := r.settings.classOf(&u.JobRecord)
+	sh.owned.jobViews[key] = &jobView{tenant: u.Tenant, deadline: now + u.Timeout, class: class}
 	sh.ensureTenant(u.Tenant)
 	r.settings.recordTimeout(u.Class, u.Timeout)
 	r.addEvent(balance.JobArrived{
@@ -74,6 +75,7 @@
 		Memory:    u.Memory,
 		Retry:     u.Retry,
 		StartsNow: u.StartsNow,
+		Accepted:  class,
 		Age:       max(u.Age, 0),
 	})
 }
@@ -84,11 +86,11 @@
 	id := r.jobKey(sh, key)
 	if !view.answered && len(u.Attempts) > view.attempts { // the last attempt was not granted by this owner
 		r.counters.add(countAttemptsNotGranted, 1)
-		r.forgetJob(id, view)
-		delete(sh.owned.jobViews, key)
-		if !u.Finished {
-			sh.introduceJob(now, key)
-		}
+		sh.reintroduceJob(now, key, view, u)
+		return
+	}
+	if !view.answered && !u.Finished && view.isTightenedBy(u.Accepted) {
+		sh.reintroduceJob(now, key, view, u)
 		return
 	}
 	r.updateAttempts(id, view, u)
@@ -106,6 +108,28 @@
 	delete(sh.owned.jobViews, key)
 }
 
+// reintroduceJob makes the balancer forget a job and imports it again as its
+// origin reports it.
+func (sh *shardState) reintroduceJob(now float64, key shard.JobKey, view *jobView, u shard.Update) {
+	r := sh.router
+	r.forgetJob(r.jobKey(sh, key), view)
+	delete(sh.owned.jobViews, key)
+	if !u.Finished {
+		sh.introduceJob(now, key)
+	}
+}
+
+// mayRunTwice reports whether the class of the job allows a retry at all.
+func (v *jobView) mayRunTwice() bool {
+	return v.class != nil && v.class.Idempotence != balance.NonIdempotent
+}
+
+// isTightenedBy reports whether a job's origin allows fewer retries than the
+// balancer knows.
+func (v *jobView) isTightenedBy(accepted *balance.Class) bool {
+	return v.class != nil && accepted != nil && v.class.TightenedBy(*accepted) != *v.class
+}
+
 // updateAttempts passes the starts and ends of attempts that the balancer does not
 // know yet on to it.
 func (r *Router) updateAttempts(id string, view *jobView, u shard.Update) {
--- a/internal/dispatcher/effectiveconfig.go
+++ b/internal/dispatcher/effectiveconfig.go
@@ -56,24 +56,10 @@
 // tightenRequests restricts the retries of all requests, those that the scheduler has not got yet too, to those that
 // the present definitions of their classes allow as well. The scheduler does the same for the jobs that it holds.
 func (d *Dispatcher) tightenRequests() {
-	tightened := map[*balance.Class]*balance.Class{}
+	tightening := balance.NewTightening(func(name string) *balance.Class { return d.classes[name] })
 	for _, r := range d.requests {
-		class := tightened[r.class]
-		if class == nil {
-			class = d.tightenedClass(r.class)
-			tightened[r.class] = class
-		}
-		r.class = class
-	}
-}
-
-func (d *Dispatcher) tightenedClass(class *balance.Class) *balance.Class {
-	present := d.classes[class.Name]
-	if present == nil {
-		return class
+		r.class = tightening.Apply(r.class)
 	}
-	tightened := class.TightenedBy(*present)
-	return &tightened
 }
 
 // prependConfigChange places a change of the configuration before the pending events. Pending changes were derived
