Origins decline repeats of a keyed job outside its scope and window

Cause: an origin checked a grant only for what "unsafe" wants. Owners of this build now know the definition of the origin, but those of the last build judge by their own, and a grant may be under way when agreed rules tighten a class.

Change: before a Send of a keyed job that may have run, the origin compares zone or cell of the worker with that of the first attempt that may have run, as its own endpoint list had it when that attempt began, and checks the window. It declines a Reject of such a job too, unless its duplicates are recognised everywhere.

--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -230,3 +230,12 @@
 	}
 	return max(delay, pollPauseSeconds-jitter-2*sinceLast)
 }
+
+// Worker returns the entry of a worker in the endpoint list, or false if the list does not have it.
+func (b *Balancer) Worker(id string) (WorkerInfo, bool) {
+	w := b.workersByID[id]
+	if w == nil {
+		return WorkerInfo{}, false
+	}
+	return w.WorkerInfo, true
+}
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -27,13 +27,18 @@
 	if first == nil || b.now >= j.firstAttemptAt+j.class.DedupWindow {
 		return false
 	}
-	switch j.class.DedupScope {
+	return j.class.DedupScope.Contains(&first.WorkerInfo, &w.WorkerInfo)
+}
+
+// Contains reports whether a worker recognises the duplicates of jobs that another one has received.
+func (s DedupScope) Contains(first, other *WorkerInfo) bool {
+	switch s {
 	case ScopeAll:
 		return true
 	case ScopeZone:
-		return first.Zone == w.Zone
+		return first.Zone == other.Zone
 	case ScopeCell:
-		return first.Cell == w.Cell
+		return first.Cell == other.Cell
 	}
 	return false
 }
--- a/internal/cluster/shard/errors.go
+++ b/internal/cluster/shard/errors.go
@@ -95,8 +95,8 @@
 // Is reports whether err has the same type.
 func (StaleAttemptError) Is(err error) bool { _, ok := err.(StaleAttemptError); return ok }
 
-// MayHaveRunError reports a grant that would start an at-most-once job again, or
-// reject it as never run, although the job may have run.
+// MayHaveRunError reports a grant that would start a job again that must not run
+// twice any more, or reject it as never run, although the job may have run.
 type MayHaveRunError struct {
 	Shard int
 	ID    string
@@ -201,3 +201,20 @@
 
 // Is reports whether err has the same type.
 func (NoMembersError) Is(err error) bool { _, ok := err.(NoMembersError); return ok }
+
+// OutsideDedupScopeError reports a Send of a job with an idempotency key that may
+// have run, to a worker that would not recognise the job.
+type OutsideDedupScopeError struct {
+	Shard  int
+	ID     string
+	Worker string
+}
+
+func (e OutsideDedupScopeError) Error() string {
+	return fmt.Sprintf("shard %d: job %q may have run, and worker %q would not recognise it as a duplicate: the "+
+		"grant is not executed; if this lasts, the shard's owner runs an earlier build, or one of the two instances "+
+		"lacks a worker in its endpoint list (docs/operators/shards.md, \"Read\")", e.Shard, e.ID, e.Worker)
+}
+
+// Is reports whether err has the same type.
+func (OutsideDedupScopeError) Is(err error) bool { _, ok := err.(OutsideDedupScopeError); return ok }
--- a/internal/cluster/shard/joblog.go
+++ b/internal/cluster/shard/joblog.go
@@ -21,6 +21,9 @@
 	// The records of updates are numbered; each number belongs to one job id. A
 	// record is sent in its current state, so a number that is resent may carry a
 	// later state, but never an earlier one.
+	// FindWorker returns a worker's entry in the origin's endpoint list. Accept calls it. Nil: no worker is known.
+	FindWorker func(id string) (balance.WorkerInfo, bool)
+
 	unsent              []string // ids of jobs changed since they were last sent, each once
 	unacknowledged      []string // ids sent under the numbers from firstUnacknowledged on
 	firstUnacknowledged uint64
@@ -31,9 +34,10 @@
 
 type loggedJob struct {
 	JobRecord
-	asOf       float64 // time to which the record's times refer
-	queued     bool    // its id is in unsent
-	lastNumber uint64  // number under which it was last sent
+	asOf       float64               // time to which the record's times refer
+	workers    []*balance.WorkerInfo // of its attempts, as they were when these began; nil entry: not known
+	queued     bool                  // its id is in unsent
+	lastNumber uint64                // number under which it was last sent
 }
 
 // NewJobLog returns an empty log for a shard. origin is the incarnation of the
@@ -147,12 +151,13 @@
 	case g.Kind == Cancel:
 		return l.checkCancel(j, g)
 	}
-	if err := l.checkGrant(j, g); err != nil {
+	if err := l.checkGrant(now, j, g); err != nil {
 		return err
 	}
 	j.advanceTo(now)
 	if g.Kind == Send {
 		j.beginAttempt(g.Worker)
+		j.workers = append(slices.Clip(j.workers), l.workerInfo(g.Worker))
 	} else {
 		j.Finished = true
 	}
@@ -168,19 +173,63 @@
 	return nil
 }
 
-func (l *JobLog) checkGrant(j *loggedJob, g Grant) error {
+func (l *JobLog) checkGrant(now float64, j *loggedJob, g Grant) error {
 	begun := len(j.Attempts)
 	switch {
 	case j.InFlight() && g.Kind != Fail:
 		return AttemptInFlightError{l.shard, g.ID}
 	case g.Attempt != begun || begun >= MaxAttempts:
 		return StaleAttemptError{l.shard, g.ID, g.Attempt, begun}
-	case j.AtMostOnce && g.Kind != Fail && j.MayHaveRun():
+	case g.Kind != Fail && j.MayHaveRun():
+		return l.checkRepeat(now, j, g)
+	}
+	return nil
+}
+
+// checkRepeat decides whether a job that may have run may be sent again, or its client be told to send it again, by the
+// class with which this origin accepted the job: the owner may know another definition.
+func (l *JobLog) checkRepeat(now float64, j *loggedJob, g Grant) error {
+	first := slices.IndexFunc(j.Attempts, func(a Attempt) bool { return a.MayHaveRun })
+	windowOver := j.isKeyed() && j.Attempts[first].Elapsed+now-j.asOf >= j.Accepted.DedupWindow
+	switch {
+	case j.AtMostOnce, g.Kind == Send && windowOver:
 		return MayHaveRunError{l.shard, g.ID}
+	case !j.isKeyed():
+		return nil
+	case g.Kind == Reject && !j.Accepted.RetryIsHarmless():
+		return MayHaveRunError{l.shard, g.ID}
+	case g.Kind == Send && !l.isInScope(j, first, g.Worker):
+		return OutsideDedupScopeError{l.shard, g.ID, g.Worker}
 	}
 	return nil
 }
 
+func (j *loggedJob) isKeyed() bool {
+	return j.Accepted != nil && j.Accepted.Idempotence == balance.IdempotentWithKey
+}
+
+// isInScope reports whether a worker recognises the duplicates of what the worker of an attempt has received.
+func (l *JobLog) isInScope(j *loggedJob, attempt int, worker string) bool {
+	if j.Accepted.DedupScope == balance.ScopeAll {
+		return true
+	}
+	former := j.workers[attempt]
+	next := l.workerInfo(worker)
+	return former != nil && next != nil && j.Accepted.DedupScope.Contains(former, next)
+}
+
+// workerInfo returns the entry of a worker in the endpoint list, or nil.
+func (l *JobLog) workerInfo(id string) *balance.WorkerInfo {
+	if l.FindWorker == nil {
+		return nil
+	}
+	info, ok := l.FindWorker(id)
+	if !ok {
+		return nil
+	}
+	return &info
+}
+
 func (j *loggedJob) beginAttempt(worker string) {
 	begun := len(j.Attempts)
 	j.Attempts = append(slices.Clone(j.Attempts), Attempt{Worker: worker})
--- a/internal/cluster/shardrouter/acceptedclass_test.go
+++ b/internal/cluster/shardrouter/acceptedclass_test.go
@@ -112,3 +112,67 @@
 		}
 	}
 }
+
+// TestOriginChecksScopeOfDuplicates checks that an origin does not execute a Send of a keyed job that may have run
+// outside the scope and the window with which it accepted the job, whatever the owner's definition allows. The owner is
+// of a build that does not read the origin's.
+func TestOriginChecksScopeOfDuplicates(t *testing.T) {
+	const window = 8
+	for name, c := range map[string]struct {
+		scope   balance.DedupScope
+		window  float64
+		repeats bool
+	}{
+		"zone":               {balance.ScopeZone, window, true},
+		"no scope":           {"", window, false},
+		"shorter than a run": {balance.ScopeAll, 0.04, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			keyed := func(scope balance.DedupScope, window float64) balance.Config {
+				return withReadClass(testConfig(), func(c *balance.Class) {
+					c.Idempotence, c.DedupScope, c.DedupWindow = balance.IdempotentWithKey, scope, window
+				})
+			}
+			s := newSim(t, 1, 2, 1, keyed(balance.ScopeAll, window))
+			s.breakFirstRun, s.reliableWorkers = true, true
+			s.zones = map[string]string{}
+			for i := range 8 {
+				s.zones[fmt.Sprint("w", i)] = []string{"west", "east"}[i%2]
+			}
+			s.filter = func(_, _ *node, m shard.Message) (shard.Message, bool) {
+				if update, ok := m.(shard.JobUpdate); ok {
+					for i := range update.Records {
+						update.Records[i].Accepted = nil
+					}
+				}
+				return m, true
+			}
+			origin := s.nodes[1]
+			for _, n := range s.nodes {
+				n.post(s.endpointUpdate())
+			}
+			origin.post(balance.ConfigChanged{Config: keyed(c.scope, c.window)})
+			s.run(0.5)
+			for range 20 {
+				origin.arrive("read", "a", 8)
+			}
+			s.run(10)
+			s.verify()
+			repeated := 0
+			for id, j := range s.jobs {
+				for _, worker := range j.ranOn {
+					if s.zones[worker] != s.zones[j.ranOn[0]] {
+						t.Errorf("job %s ran on %v, which are in different zones", id, j.ranOn)
+					}
+				}
+				if j.runs > 1 {
+					repeated++
+				}
+			}
+			if (repeated > 0) != c.repeats {
+				t.Errorf("%d of %d jobs were sent again, want some %v", repeated, len(s.jobs), c.repeats)
+			}
+			t.Logf("%d jobs sent again, %d grants declined", repeated, s.counterTotal(countGrantsDeclined))
+		})
+	}
+}
--- a/internal/cluster/shardrouter/state.go
+++ b/internal/cluster/shardrouter/state.go
@@ -130,6 +130,7 @@
 			jobViews: map[shard.JobKey]*jobView{},
 		},
 	}
+	sh.jobLog.FindWorker = r.balancer.Worker // only the loop accepts grants
 	sh.rank = rankShard
 	return sh
 }
