An origin answers a job at once whose owner grants what must not run again

Cause: a decline only returns the grant to the owner's scheduler, which decides the same again.

Change: an origin that declines a grant because the job may have run and must not run again fails the job itself: no grant but a Fail would ever be executed. A keyed job whose class has no scope, or whose window is over, is one of these. A decline for the worker alone stays as it was: another worker of the scope may do.

--- a/balance/retry.go
+++ b/balance/retry.go
@@ -30,6 +30,16 @@
 	return j.class.DedupScope.Contains(&first.WorkerInfo, &w.WorkerInfo)
 }
 
+// DeduplicatesAfter reports whether any worker still recognises a duplicate of a job with an idempotency key some
+// seconds after it was first sent.
+func (c *Class) DeduplicatesAfter(seconds float64) bool {
+	switch c.DedupScope {
+	case ScopeAll, ScopeZone, ScopeCell:
+		return seconds < c.DedupWindow
+	}
+	return false
+}
+
 // Contains reports whether a worker recognises the duplicates of jobs that another one has received.
 func (s DedupScope) Contains(first, other *WorkerInfo) bool {
 	switch s {
--- a/internal/cluster/shard/joblog.go
+++ b/internal/cluster/shard/joblog.go
@@ -190,9 +190,9 @@
 // class with which this origin accepted the job: the owner may know another definition.
 func (l *JobLog) checkRepeat(now float64, j *loggedJob, g Grant) error {
 	first := slices.IndexFunc(j.Attempts, func(a Attempt) bool { return a.MayHaveRun })
-	windowOver := j.isKeyed() && j.Attempts[first].Elapsed+now-j.asOf >= j.Accepted.DedupWindow
+	elapsed := j.Attempts[first].Elapsed + now - j.asOf
 	switch {
-	case j.AtMostOnce, g.Kind == Send && windowOver:
+	case j.AtMostOnce, g.Kind == Send && j.isKeyed() && !j.Accepted.DeduplicatesAfter(elapsed):
 		return MayHaveRunError{l.shard, g.ID}
 	case !j.isKeyed():
 		return nil
--- a/internal/cluster/shardrouter/acceptedclass_test.go
+++ b/internal/cluster/shardrouter/acceptedclass_test.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// withoutDefinitions is a filter of messages for owners of a build that does not read the origin's definitions.
+func withoutDefinitions(_, _ *node, m shard.Message) (shard.Message, bool) {
+	if update, ok := m.(shard.JobUpdate); ok {
+		for i := range update.Records {
+			update.Records[i].Accepted, update.Records[i].AtMostOnce = nil, false
+		}
+	}
+	return m, true
+}
+
 // TestOriginChecksScopeOfDuplicates checks that an origin does not execute a Send of a keyed job that may have run
 // outside the scope and the window with which it accepted the job, whatever the owner's definition allows. The owner is
 // of a build that does not read the origin's.
@@ -139,14 +149,7 @@
 			for i := range 8 {
 				s.zones[fmt.Sprint("w", i)] = []string{"west", "east"}[i%2]
 			}
-			s.filter = func(_, _ *node, m shard.Message) (shard.Message, bool) {
-				if update, ok := m.(shard.JobUpdate); ok {
-					for i := range update.Records {
-						update.Records[i].Accepted = nil
-					}
-				}
-				return m, true
-			}
+			s.filter = withoutDefinitions
 			origin := s.nodes[1]
 			for _, n := range s.nodes {
 				n.post(s.endpointUpdate())
@@ -176,3 +179,33 @@
 		})
 	}
 }
+
+// TestJobThatMustNotRunAgainIsAnswered checks that an origin answers a job at once that may have run and must not run
+// again, when the owner grants another attempt by a definition that allows it: the owner would grant it again until the
+// job's deadline.
+func TestJobThatMustNotRunAgainIsAnswered(t *testing.T) {
+	for name, change := range map[string]func(*balance.Class){
+		"unsafe": nonIdempotent,
+		"keyed without a scope": func(c *balance.Class) {
+			c.Idempotence, c.DedupWindow = balance.IdempotentWithKey, 8
+		},
+	} {
+		s := newSim(t, 1, 2, 1, testConfig())
+		s.breakFirstRun, s.reliableWorkers, s.filter = true, true, withoutDefinitions
+		origin := s.nodes[1]
+		origin.post(balance.ConfigChanged{Config: withReadClass(testConfig(), change)})
+		s.run(0.5)
+		for range 20 {
+			origin.arrive("read", "a", 8)
+		}
+		s.run(1)
+		for id, j := range s.jobs {
+			if !j.answered || j.runs != 1 {
+				t.Errorf("%s: job %s ran %d times, answered %v after 1 s of 8; want one run and an answer", name, id, j.runs, j.answered)
+			}
+		}
+		s.run(9)
+		s.verify()
+		t.Logf("%s: %d grants declined", name, s.counterTotal(countGrantsDeclined))
+	}
+}
--- a/internal/cluster/shardrouter/grants.go
+++ b/internal/cluster/shardrouter/grants.go
@@ -1,6 +1,7 @@
 package shardrouter
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 
@@ -12,17 +13,30 @@
 // The shard's lock is held.
 func (r *Router) acceptGrant(now float64, sh *shardState, g receivedGrant) {
 	sh.observeEpoch(g.Epoch, g.sender)
-	if err := sh.jobLog.Accept(now, g.Grant); err == nil {
+	err := sh.jobLog.Accept(now, g.Grant)
+	if err == nil {
 		r.executeGrant(g.Grant)
 		return
 	}
 	r.counters.add(countGrantsDeclined, 1)
+	r.failIfSpent(g.Grant, err)
 	if decline, ok := sh.jobLog.Decline(g.Grant); ok {
 		sh.sendUpdates(now) // the owner ignores a decline while it lacks earlier updates
 		r.send(g.sender, decline)
 	}
 }
 
+// failIfSpent fails a job whose grant was declined because it may have run and must
+// not run again. No grant but a Fail would be executed any more, and an owner whose
+// definition of the class allows more would repeat the declined one until the
+// job's deadline. The lock of the job's shard is held.
+func (r *Router) failIfSpent(g shard.Grant, declined error) {
+	job := r.localJobs[g.ID]
+	if job != nil && !job.finished && errors.Is(declined, shard.MayHaveRunError{}) {
+		r.answerLocally(job)
+	}
+}
+
 // executeGrant adds the action of an accepted grant to the actions of this step.
 func (r *Router) executeGrant(g shard.Grant) {
 	job := r.localJobs[g.ID]
@@ -108,11 +122,13 @@
 // grantLocally executes a grant for a job of this instance, or declines it. The
 // shard's lock is held.
 func (r *Router) grantLocally(now float64, sh *shardState, g shard.Grant) {
-	if err := sh.jobLog.Accept(now, g); err == nil {
+	err := sh.jobLog.Accept(now, g)
+	if err == nil {
 		r.executeGrant(g)
 		sh.updateLocalOwner(now, maxInlineUpdates)
 		return
 	}
+	r.failIfSpent(g, err)
 	if decline, ok := sh.jobLog.Decline(g); ok {
 		r.counters.add(countGrantsDeclined, 1)
 		sh.updateLocalOwner(now, maxInlineUpdates)
