A request is accepted with no more retries than its class allowed at its head

Need: downstream checks a request's head by the class that it has then (a keyed class wants an Idempotency-Key), the loop accepts the complete request by the definition that it has then. A reload between head and body made an unsafe or safe class keyed for a request that has no key: a job that may have run was sent again without a key.

Change: a request carries the definition of the platform's settings at its head. If that is another one than the loop's now, the request gets the retries that both allow, and none if it would need a key that it does not have.

--- a/internal/dispatcher/acceptedclass_test.go
+++ b/internal/dispatcher/acceptedclass_test.go
@@ -170,3 +170,38 @@
 		t.Errorf("the retry may be sent until %v after the first attempt, want 1 s", got.Sub(r.wallTime(first)))
 	}
 }
+
+// A job whose class changes between its head and the last byte of its body must not be retried more than the class
+// allowed when the head was read, or without a key if none was required then. Without a change nothing is restricted.
+func TestClassChangesBehindTheHead(t *testing.T) {
+	unsafeToKeyed := []string{`"unsafe","value"`, `"keyed","dedup_scope":"all","repeat_window":9,"value"`}
+	for name, c := range map[string]struct {
+		class    string
+		reload   []string
+		attempts int // of 3, when each breaks
+	}{
+		"unsafe becomes keyed":    {"unsafe", unsafeToKeyed, 1},
+		"unsafe becomes safe":     {"unsafe", []string{`"semantics":"unsafe"`, safeLane}, 1},
+		"safe becomes keyed":      {"safe", []string{`"safe","value"`, `"keyed","dedup_scope":"all","repeat_window":9,"value"`}, 1},
+		"safe becomes unsafe":     {"safe", []string{`"hard_limit":2,"semantics":"safe"`, `"hard_limit":2,"semantics":"unsafe"`}, 1},
+		"safe stays":              {"safe", nil, 3},
+		"another class is keyed":  {"safe", unsafeToKeyed, 3},
+		"safe has another weight": {"safe", []string{`"safe","value":1`, `"safe","value":2`}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newDeferredRig(t)
+			for i, class := range r.Settings.Config().Classes {
+				if class.Name == c.class {
+					r.headClass = &r.Settings.Config().Classes[i]
+				}
+			}
+			r.handle(settingsChanged{parseSettings(t, c.reload...)})
+			r.advance(20 * time.Millisecond)
+			j := r.arrive("j", c.class, 5*time.Second)
+			r.reportFreeSlots(1e6)
+			if got := r.attemptsUntilAnswer(j); got != c.attempts {
+				t.Errorf("got %d attempts, want %d", got, c.attempts)
+			}
+		})
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -134,17 +134,22 @@
 		return nil, fmt.Errorf("round: %v is not a time from 0 to 1 s", o.Settings.BatchInterval)
 	}
 	d := &Dispatcher{
-		Options:     o,
-		startTime:   o.Now(),
-		inbox:       make(chan any, inboxLen),
-		wakeups:     make(chan struct{}, 1),
-		done:        make(chan struct{}),
-		endpoints:   endpoints.NewTable(),
-		requests:    map[string]*request{},
-		lastStepAt:  math.Inf(-1),
-		limitedLog:  logging.NewLimited(limitedLogInterval, o.Now),
-		watchState:  watchState{cancelWatch: func() {}, retryJitter: rand.New(rand.NewPCG(o.Seed, 0))},
-		configState: configState{slowStartShare: 1, batchInterval: o.Settings.BatchInterval},
+		Options:    o,
+		startTime:  o.Now(),
+		inbox:      make(chan any, inboxLen),
+		wakeups:    make(chan struct{}, 1),
+		done:       make(chan struct{}),
+		endpoints:  endpoints.NewTable(),
+		requests:   map[string]*request{},
+		lastStepAt: math.Inf(-1),
+		limitedLog: logging.NewLimited(limitedLogInterval, o.Now),
+		watchState: watchState{cancelWatch: func() {}, retryJitter: rand.New(rand.NewPCG(o.Seed, 0))},
+		configState: configState{
+			slowStartShare:  1,
+			batchInterval:   o.Settings.BatchInterval,
+			classes:         map[string]*balance.Class{},
+			platformClasses: map[string]*balance.Class{},
+		},
 	}
 	if err := d.newScheduler(); err != nil {
 		return nil, err
@@ -167,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	d.defineClasses(config)
+	defineClasses(d.classes, config.Classes)
 	d.scheduler = b
 	if d.NewScheduler != nil {
 		d.scheduler = d.NewScheduler(b, d.clock)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -37,8 +37,9 @@
 	healthChecks []func(upstream.AttemptEvent)
 
 	watches            chan watchCall
-	startDelay         time.Duration // delay of the next jobs
-	expectedUsage      float64       // attempts that were started, except those proved never to have run
+	startDelay         time.Duration  // delay of the next jobs
+	headClass          *balance.Class // definition of the class when the heads of the next jobs were read
+	expectedUsage      float64        // attempts that were started, except those proved never to have run
 	usage              usageCounter
 	closeIdleCalls     int // calls of CloseIdle
 	openConns          int // open client connections
@@ -196,7 +197,7 @@
 func (r *rig) arrive(id, class string, timeout time.Duration, after ...string) *jobModel {
 	j := &jobModel{sentAt: r.now}
 	j.req = &downstream.Request{ID: id, Class: class, Tenant: "acme", Method: "POST", URI: "/" + class, Slots: 1,
-		DependsOn: after, Delay: r.startDelay, Arrived: r.now, Timeout: timeout,
+		DependsOn: after, Delay: r.startDelay, Arrived: r.now, Timeout: timeout, ClassDefinition: r.headClass,
 		Answer: func(a downstream.Answer) {
 			if j.answers = append(j.answers, a.Status); len(j.answers) > 1 || j.disconnected {
 				r.t.Fatalf("%s: answers %v, client disconnected %v; want one answer to a connected client", id, j.answers, j.disconnected)
--- a/internal/dispatcher/effectiveconfig.go
+++ b/internal/dispatcher/effectiveconfig.go
@@ -47,7 +47,7 @@
 		return
 	}
 	d.rejectedConfig = nil
-	d.defineClasses(config)
+	defineClasses(d.classes, config.Classes)
 	d.tightenRequests()
 	d.prependConfigChange(balance.ConfigChanged{Config: config, TightenExisting: true})
 	d.ConfigSource.Acknowledge(next)
--- a/internal/dispatcher/reload.go
+++ b/internal/dispatcher/reload.go
@@ -17,6 +17,8 @@
 	// classes has the definition of each class with which jobs are accepted now, by name. A definition is replaced,
 	// never modified. That of a class that is no longer configured is kept: clients may send jobs for some time.
 	classes map[string]*balance.Class
+	// platformClasses are those of the platform's settings, without what instances have agreed on.
+	platformClasses map[string]*balance.Class
 }
 
 func (d *Dispatcher) applySettings(s *settings.Settings) {
@@ -38,6 +40,7 @@
 	for _, class := range d.Settings.Classes {
 		longest = max(longest, class.Deadline())
 	}
+	defineClasses(d.platformClasses, d.Settings.Config().Classes)
 	d.maxDrain = min(longest, maxDrainSeconds) + drainGraceSeconds
 	d.recentIDs.retention = max(d.recentIDs.retention, longest) // never shorter: earlier requests may be in flight
 	d.reportFields = d.Settings.Config().ReportFields
@@ -64,17 +67,14 @@
 	config := d.schedulerConfig()
 	d.addEvent(balance.ConfigChanged{Config: config})
 	if config.Check() == nil { // the scheduler keeps its configuration if it cannot use this one
-		d.defineClasses(config)
+		defineClasses(d.classes, config.Classes)
 	}
 }
 
-// defineClasses replaces the definitions with which jobs are accepted by those of a configuration.
-func (d *Dispatcher) defineClasses(config balance.Config) {
-	if d.classes == nil {
-		d.classes = map[string]*balance.Class{}
-	}
-	for _, class := range config.Classes {
-		d.classes[class.Name] = &class
+// defineClasses replaces the definitions of classes by name. Those of classes that are not in the list stay.
+func defineClasses(byName map[string]*balance.Class, classes []balance.Class) {
+	for _, class := range classes {
+		byName[class.Name] = &class
 	}
 }
 
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -128,10 +128,27 @@
 	return &request{
 		inbound:  in,
 		deadline: d.unixSeconds(in.Arrived.Add(in.Timeout)),
-		class:    d.classDefinition(in),
+		class:    d.acceptedClass(in),
 	}
 }
 
+// acceptedClass returns the definition with which a request is accepted: the present one of its class. If a reload
+// has changed the class since the head was read, it allows the retries that both allow. An idempotency key was
+// required only if the class was keyed then.
+func (d *Dispatcher) acceptedClass(in *downstream.Request) *balance.Class {
+	present := d.classDefinition(in)
+	atHead := in.ClassDefinition
+	platform := d.platformClasses[in.Class]
+	if atHead == nil || platform == nil || platform.SameDefinition(*atHead) {
+		return present
+	}
+	accepted := present.TightenedBy(*atHead)
+	if accepted.Idempotence == balance.IdempotentWithKey && in.IdempotencyKey == "" {
+		accepted.Idempotence = balance.NonIdempotent
+	}
+	return &accepted
+}
+
 // classDefinition returns the present definition of a request's class.
 func (d *Dispatcher) classDefinition(in *downstream.Request) *balance.Class {
 	if class := d.classes[in.Class]; class != nil {
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -59,6 +59,8 @@
 		Retry:          r.Header.Get("Client-Retry") == "1",
 		Slots:          1,
 		Timeout:        class.Deadline,
+
+		ClassDefinition: class.Definition,
 	}
 	if err := job.checkIdentity(r.Header, class); err != nil {
 		return nil, err
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"example.org/bellstream/balance"
 )
 
 // Request is one job as its client submitted it.
@@ -21,6 +23,9 @@
 	Delay          time.Duration // counted from Arrived, for which the job is to be deferred
 	Arrived        time.Time     // when the last byte was read
 	Timeout        time.Duration // how long the client waits
+	// ClassDefinition is that of the class when the head was read and checked; nil: not known. A reload may change
+	// the class before the body is complete.
+	ClassDefinition *balance.Class
 
 	// Answer sends the final answer. It must be called exactly once for every request that was passed to
 	// the handler and whose client has not disconnected. It does not block.
@@ -37,7 +42,8 @@
 
 // Class holds the settings of a request class that this package uses.
 type Class struct {
-	Keyed     bool          // requests must have an idempotency key
-	Deadline  time.Duration // timeout of requests without a Request-Timeout header
-	removedAt time.Time     // when a class deleted from the settings stops being accepted; zero if not deleted
+	Keyed      bool           // requests must have an idempotency key
+	Deadline   time.Duration  // timeout of requests without a Request-Timeout header
+	Definition *balance.Class // what jobs of the class are accepted with; not used here, and not modified
+	removedAt  time.Time      // when a class deleted from the settings stops being accepted; zero if not deleted
 }
--- a/internal/downstream/request_test.go
+++ b/internal/downstream/request_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/lab/wiretest"
 )
 
@@ -78,3 +79,24 @@
 		}
 	}
 }
+
+// A request carries the definition that its class had when its head was read, though the class is replaced before the
+// body arrives.
+func TestRequestCarriesTheClassOfItsHead(t *testing.T) {
+	s, d, l := startServer(t, 8)
+	atHead := &balance.Class{Name: "safe", Idempotence: balance.Idempotent}
+	s.SetClasses(map[string]Class{"safe": {Deadline: time.Second, Definition: atHead}})
+	c := l.Dial()
+	defer c.Close()
+	io.WriteString(c, "POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: r\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n")
+	if got, _ := c.Status(t); got != 100 {
+		t.Fatalf("got status %d, want 100: the head was read", got)
+	}
+	s.SetClasses(map[string]Class{"safe": {Deadline: time.Second, Definition: &balance.Class{Name: "safe", Idempotence: balance.NonIdempotent}}})
+	io.WriteString(c, "b")
+	r := wiretest.Get(t, d.arrivals, "the request")
+	if r.ClassDefinition != atHead {
+		t.Errorf("got definition %+v, want that of the head", r.ClassDefinition)
+	}
+	r.Answer(Answer{Status: 200})
+}
--- a/internal/service/instance.go
+++ b/internal/service/instance.go
@@ -92,10 +92,12 @@
 // classes returns the settings' classes by name, as package downstream uses them.
 func classes(s *settings.Settings) map[string]downstream.Class {
 	byName := map[string]downstream.Class{}
-	for _, class := range s.Classes {
+	definitions := s.Config().Classes
+	for i, class := range s.Classes {
 		byName[class.Name] = downstream.Class{
-			Keyed:    class.Idempotence == "keyed",
-			Deadline: seconds(class.Deadline(), 0),
+			Keyed:      class.Idempotence == "keyed",
+			Deadline:   seconds(class.Deadline(), 0),
+			Definition: &definitions[i],
 		}
 	}
 	return byName
