A job keeps the promised wait of its acceptance, also when deferred or moved

Need: docs/operators/waiting.md promises that SIGHUP applies a changed max_wait to jobs that arrive from then on and that earlier promises are kept. The scheduler looked at the wait of the class instead: a deferred job got the one of its release, and a queued one got a new one when its tenant was exported and imported, or none.

Change: a job has its own MaxWait, from the definition with which it was accepted; that definition carries it between schedulers and instances (a new field; a new golden file, the others are unchanged). The log line on a former definition is written where the job is submitted, not where it ends with a job that it depends on.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -41,6 +41,10 @@
 		deadline:         b.now + e.Timeout,
 		slots:            max(e.Slots, 1),
 		memory:           max(e.Memory, 0),
+		maxWait:          c.MaxWait,
+	}
+	if e.Accepted != nil {
+		j.maxWait = e.Accepted.MaxWait
 	}
 	shortTimeout := b.config.ClientsMarkRetries && !e.Retry && j.cannotMeetObjective(b.now)
 	if e.StartsNow || shortTimeout { // the job is new: its client merely set a short timeout
@@ -50,12 +54,11 @@
 }
 
 // canKeepMaxWait returns the expected wait of a job and reports whether the job can be sent within its
-// class's MaxWait. The first queued job of a class is always admitted. Any other job waits for all
+// MaxWait. The first queued job of a class is always admitted. Any other job waits for all
 // promised jobs before it, and these may take up only promisedWorkShare of the work in flight.
 func (b *Balancer) canKeepMaxWait(j *job) (wait float64, ok bool) {
 	wait = b.promisedWait(j)
-	c := j.class
-	full := c.MaxWait > 0 && c.promisedSize > 0.5 && wait > (1-priorityWaitShare)*c.MaxWait
+	full := j.maxWait > 0 && j.class.promisedSize > 0.5 && wait > (1-priorityWaitShare)*j.maxWait
 	return wait, !full
 }
 
--- a/balance/events.go
+++ b/balance/events.go
@@ -16,7 +16,7 @@
 	StartsNow bool
 	// Accepted is the definition of the class with which the caller accepted the job, if that may have been under
 	// an earlier configuration. Nil means the definition that is configured when the event is handled. It is not
-	// modified. Its MaxWait has no effect: a wait is promised only now.
+	// modified. Its MaxWait counts from now.
 	Accepted *Class
 	// Age is how long ago the job arrived, in seconds, if it was held elsewhere before the caller got it.
 	// It determines the job's place in the queue.
--- a/balance/job.go
+++ b/balance/job.go
@@ -38,6 +38,7 @@
 	arrivedAt        float64
 	enqueuedAt       float64 // when it last joined the queue
 	deadline         float64
+	maxWait          float64 // longest wait for its first send, by its class when it was accepted; 0: no limit
 	promisedBy       float64 // end of its promised wait
 	priorityFrom     float64 // time from which it is sent ahead of the order of the tags
 	slots            float64
--- a/balance/promised.go
+++ b/balance/promised.go
@@ -18,7 +18,7 @@
 }
 
 func (q *promisedQueue) add(j *job) {
-	if j.class.MaxWait <= 0 || len(j.attempts) > 0 {
+	if j.maxWait <= 0 || len(j.attempts) > 0 {
 		return
 	}
 	if q.less == nil {
@@ -27,8 +27,8 @@
 			less:     func(a, b *job) bool { return a.priorityFrom < b.priorityFrom },
 		}
 	}
-	j.promisedBy = j.arrivedAt + j.class.MaxWait
-	j.priorityFrom = j.promisedBy - (1-priorityWaitShare)*j.class.MaxWait
+	j.promisedBy = j.arrivedAt + j.maxWait
+	j.priorityFrom = j.promisedBy - (1-priorityWaitShare)*j.maxWait
 	q.size += j.size()
 	j.class.promisedSize += j.size()
 	heap.Push(q, j)
--- a/balance/promised_test.go
+++ b/balance/promised_test.go
@@ -285,3 +285,32 @@
 		t.Error("a MaxWait of another class, or one below 0, rejected a job")
 	}
 }
+
+// A job keeps the MaxWait with which it was accepted, and no other one is promised to it: when it was deferred until
+// after a change of the configuration, and when its tenant is exported and imported again.
+func TestPromisedWaitOfAcceptance(t *testing.T) {
+	for _, deferred := range []bool{false, true} {
+		for _, c := range []struct{ before, after float64 }{{8, 2}, {8, 0}, {0, 8}} {
+			cfg := testConfig()
+			cfg.Classes[0].MaxWait = c.before
+			accepted := cfg.Classes[0]
+			r := newRig(t, cfg)
+			job := r.job("read", "a")
+			job.Accepted = &accepted
+			if !deferred {
+				r.step(job)
+			}
+			cfg = testConfig()
+			cfg.Classes[0].MaxWait = c.after
+			r.step(ConfigChanged{Config: cfg})
+			if deferred {
+				r.step(job)
+			}
+			r.step(ImportTenant{State: r.b.exportTenant("a")})
+			j := r.b.jobs[job.ID]
+			if j == nil || j.hasMaxWait() != (c.before > 0) || j.hasMaxWait() && j.promisedBy != j.arrivedAt+c.before {
+				t.Errorf("deferred %v, MaxWait %v, then %v: got job %+v, want the first one", deferred, c.before, c.after, j)
+			}
+		}
+	}
+}
--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -68,8 +68,8 @@
 	b.pruneFormerClasses()
 }
 
-// pruneFormerClasses drops the former classes that no job has. The others get the present MaxWait of their
-// name, like a class that is replaced, and their jobs still need workers of their kind.
+// pruneFormerClasses drops the former classes that no job has. The jobs of the others still need workers of
+// their kind.
 func (b *Balancer) pruneFormerClasses() {
 	inUse := map[*class]bool{}
 	for _, j := range b.jobs {
@@ -83,9 +83,6 @@
 		}
 		for _, c := range former {
 			b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
-			if present := b.classes[name]; present != nil {
-				c.MaxWait = present.MaxWait
-			}
 		}
 	}
 }
@@ -138,10 +135,8 @@
 			return c
 		}
 	}
-	accepted.MaxWait = 0
 	c := &class{Class: accepted}
 	if present != nil {
-		c.MaxWait = present.MaxWait
 		c.runTime = present.runTime
 	}
 	b.formerClasses[name] = append(b.formerClasses[name], c)
@@ -149,8 +144,7 @@
 	return c
 }
 
-// SameDefinition reports whether jobs that were accepted with either definition are treated alike. MaxWait
-// makes no difference, as a wait is promised when a job is queued.
+// SameDefinition reports whether two definitions are the same but for MaxWait, which each job keeps for itself.
 func (c *Class) SameDefinition(other Class) bool {
 	other.MaxWait = c.MaxWait
 	return *c == other
--- a/balance/transfer.go
+++ b/balance/transfer.go
@@ -91,17 +91,19 @@
 		TokensAge:    b.now - t.refilledAt,
 		Jobs:         make([]JobState, 0, t.queue.count),
 	}
-	definitions := map[*class]*Class{}
+	definitions := map[Class]*Class{}
 	for _, j := range b.jobs {
 		if j.tenant != t {
 			continue
 		}
-		if definitions[j.class] == nil {
-			definition := j.class.Class
-			definitions[j.class] = &definition
+		definition := j.class.Class
+		definition.MaxWait = j.maxWait
+		if definitions[definition] == nil {
+			shared := definition
+			definitions[definition] = &shared
 		}
 		exported := b.exportJob(j)
-		exported.Accepted = definitions[j.class]
+		exported.Accepted = definitions[definition]
 		state.Jobs = append(state.Jobs, exported)
 	}
 	t.queue = queue{} // removing 20,000 jobs one by one would take a tenth of a second
@@ -233,6 +235,10 @@
 		mayHaveRun:       s.MayHaveRun,
 		closed:           s.Closed,
 	}
+	j.maxWait = j.class.MaxWait
+	if s.Accepted != nil {
+		j.maxWait = s.Accepted.MaxWait
+	}
 	if s.FirstWorker.ID != "" {
 		j.firstWorker = b.importWorker(s.FirstWorker)
 		j.firstAttemptAt = b.now - s.FirstAttemptAge
--- a/internal/cluster/shard/wire/classes.go
+++ b/internal/cluster/shard/wire/classes.go
@@ -26,7 +26,6 @@
 	return i
 }
 
-// classMessage leaves out MaxWait, which owners promise by their own settings.
 func classMessage(c *balance.Class) *ClassMessage {
 	return &ClassMessage{
 		Name:               []byte(c.Name),
@@ -39,6 +38,7 @@
 		PriorityWeight:     c.PriorityWeight,
 		LateWeightFraction: c.LateWeightFraction,
 		WorkerKind:         []byte(c.WorkerKind),
+		MaxWait:            c.MaxWait,
 	}
 }
 
@@ -63,6 +63,7 @@
 		PriorityWeight:     d.finite(m.GetPriorityWeight()),
 		LateWeightFraction: d.finite(m.GetLateWeightFraction()),
 		WorkerKind:         d.optionalName(m.GetWorkerKind()),
+		MaxWait:            d.finite(m.GetMaxWait()),
 	}
 }
 
--- a/internal/cluster/shard/wire/golden_test.go
+++ b/internal/cluster/shard/wire/golden_test.go
@@ -40,7 +40,7 @@
 	},
 }
 
-// goldenClass has a distinct value in every field but MaxWait, which is not sent.
+// goldenClass has a distinct value in every field but MaxWait.
 var goldenClass = balance.Class{
 	Name:               "interactive",
 	LatencyObjective:   1.5,
@@ -83,6 +83,8 @@
 		Records: []shard.JobRecord{goldenRecord, {ID: "job-2", Origin: "a#11", Finished: true}}},
 	"tell-classes": shard.JobUpdate{Shard: 7, Epoch: 3, Origin: "a#11", First: 4, SnapshotSize: 8,
 		Records: []shard.JobRecord{recordWithClass(goldenClass), goldenRecord, recordWithClass(balance.Class{Name: "batch"}), recordWithClass(goldenClass)}},
+	"tell-max-wait": shard.JobUpdate{Shard: 7, Epoch: 3, Origin: "a#11", First: 4, SnapshotSize: 8,
+		Records: []shard.JobRecord{recordWithClass(balance.Class{Name: "batch", MaxWait: 0.75})}},
 	"tell-empty":    shard.JobUpdate{Epoch: 1, Origin: "a"},
 	"ack":           shard.Ack{Shard: 7, Epoch: 3, Origin: "a#11", Next: 5},
 	"ack-empty":     shard.Ack{Epoch: 1, Origin: "a"},
--- a/internal/dispatcher/deferred.go
+++ b/internal/dispatcher/deferred.go
@@ -118,7 +118,6 @@
 	if due.Cause != nil {
 		d.logLimited("cascade", "job %s ends with one that it depends on: %v", due.ID, due.Cause)
 	}
-	d.logFormerClass(r)
 	switch {
 	case r.answered:
 	case due.Expired: // with no time left, the scheduler answers it in its next step
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -164,7 +164,10 @@
 	in := r.inbound
 	r.submittedAt = d.clock()
 	r.submitStep = d.stepCount + 1
-	r.maxWait = d.MaxWaits[in.Class]
+	r.maxWait = r.class.MaxWait
+	if wasDeferred {
+		d.logFormerClass(r)
+	}
 	d.enterStage(r, deferred.StageQueued)
 	d.addEvent(balance.JobArrived{
 		ID:        in.ID,
