Drop the heaps of classes that no job has when the configuration changes

Need: a queue kept a heap for each class entry that one of its jobs ever had, and a class that changes gets a new entry: memory and the work of each step grew with the number of changes. Jobs that are accepted with a former definition would add to it.

Change: a change of the configuration drops the empty heaps of entries that are neither present nor in use.

--- a/balance/queue.go
+++ b/balance/queue.go
@@ -112,6 +112,17 @@
 	return h
 }
 
+// forgetClasses drops the empty heaps of the classes that match.
+func (q *queue) forgetClasses(unused func(*class) bool) {
+	for c, h := range q.firstRequestHeaps {
+		if len(h.jobs) > 0 || !unused(c) {
+			continue
+		}
+		delete(q.firstRequestHeaps, c)
+		q.byFirstRequest = slices.DeleteFunc(q.byFirstRequest, func(other *jobHeap) bool { return other == h })
+	}
+}
+
 func (q *queue) remove(j *job) {
 	q.count--
 	q.size -= j.size()
--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -85,6 +85,10 @@
 			b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
 		}
 	}
+	unused := func(c *class) bool { return !inUse[c] && b.classes[c.Name] != c }
+	for _, t := range b.tenants {
+		t.queue.forgetClasses(unused)
+	}
 }
 
 func replaceClass(old *class, c Class) *class {
--- a/balance/reconfigure_test.go
+++ b/balance/reconfigure_test.go
@@ -191,3 +191,26 @@
 		}
 	}
 }
+
+// Configurations that change a class again and again must not leave anything behind in the queues once the jobs of its
+// former definitions have ended.
+func TestFormerClassesAreForgotten(t *testing.T) {
+	r := newRig(t, testConfig(), runningWorkers("w")...)
+	for i := range 50 {
+		cfg := testConfig()
+		cfg.Classes[0].PriorityWeight = float64(i + 2)
+		r.step(ConfigChanged{Config: cfg})
+		accepted := testConfig().Classes[0]
+		job := r.job("read", "a")
+		job.Accepted = &accepted
+		r.step(job, r.job("read", "a"))
+		r.now += 60
+		r.step(TimerFired{}) // the jobs' clients have given up
+	}
+	r.step(ConfigChanged{Config: testConfig()})
+	q := &r.b.tenantsByName["a"].queue
+	if len(r.b.jobs) > 0 || len(r.b.formerClasses) > 0 || len(q.firstRequestHeaps) > 1 || len(q.byFirstRequest) > 1 {
+		t.Errorf("got %d jobs, %d names with former classes, %d and %d heaps; want 0, 0, and at most 1 of the present class",
+			len(r.b.jobs), len(r.b.formerClasses), len(q.firstRequestHeaps), len(q.byFirstRequest))
+	}
+}
