Jobs of a class that vanished still find workers of its kind

Need: the scan of workers counted the kinds of configured classes and of former definitions, but not of a class that a reload removed: its jobs, queued or deferred, keep it, and with 100 other workers ranked first were not sent within 5 s.

Change: the classes of all jobs count, whether they are configured, former or gone.

Measured: TestWorkerKindOfAcceptedJobIsFound, with the removed class as another case, fails in 2 of 4 cases without the change and passes.

--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -68,8 +68,8 @@
 	b.pruneFormerClasses()
 }
 
-// pruneFormerClasses drops the former classes that no job has. The jobs of the others still need workers of
-// their kind.
+// pruneFormerClasses drops the former classes that no job has. Jobs still need workers of the kind of their
+// class, even if no configured class has one.
 func (b *Balancer) pruneFormerClasses() {
 	inUse := map[*class]bool{}
 	for _, j := range b.jobs {
@@ -81,9 +81,9 @@
 		if len(former) == 0 {
 			delete(b.formerClasses, name)
 		}
-		for _, c := range former {
-			b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
-		}
+	}
+	for c := range inUse {
+		b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
 	}
 	unused := func(c *class) bool { return !inUse[c] && b.classes[c.Name] != c }
 	for _, t := range b.tenants {
@@ -106,17 +106,18 @@
 	return replaced
 }
 
-// classOf returns the class of a job: that of the definition with which it was accepted, or the present one
-// of the name if accepted is nil. timeout is the job's, in seconds.
+// classOf returns the class of a new job: that of the definition with which it was accepted, or the present
+// one of the name if accepted is nil. timeout is the job's, in seconds.
 func (b *Balancer) classOf(name string, accepted *Class, timeout float64) *class {
-	present := b.classes[name]
+	c := b.classes[name]
 	switch {
 	case accepted != nil:
-		return b.acceptedClass(name, *accepted)
-	case present != nil:
-		return present
+		c = b.acceptedClass(name, *accepted)
+	case c == nil:
+		c = &class{Class: UnknownClass(name, timeout)}
 	}
-	return &class{Class: UnknownClass(name, timeout)}
+	b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
+	return c
 }
 
 // acceptedClass returns the present class of a name if the definition is the same, and otherwise the former
@@ -144,7 +145,6 @@
 		c.runTime = present.runTime
 	}
 	b.formerClasses[name] = append(b.formerClasses[name], c)
-	b.anyWorkerKind = b.anyWorkerKind || c.WorkerKind != ""
 	return c
 }
 
--- a/balance/reconfigure_test.go
+++ b/balance/reconfigure_test.go
@@ -151,9 +151,17 @@
 }
 
 // A job whose class runs on one kind of worker must still reach a worker of that kind after a new configuration frees
-// the class of it, however many other workers are ranked first, whether it was queued before or accepted before.
+// the class of it or removes the class, however many other workers are ranked first, whether it was queued before or
+// accepted before.
 func TestWorkerKindOfAcceptedJobIsFound(t *testing.T) {
-	for _, queued := range []bool{false, true} {
+	next := testConfig()
+	removed := testConfig()
+	removed.Classes = removed.Classes[1:]
+	for _, c := range []struct {
+		queued bool
+		next   Config
+	}{{false, next}, {true, next}, {false, removed}, {true, removed}} {
+		queued := c.queued
 		cfg := testConfig()
 		cfg.Classes[0].WorkerKind = "gpu"
 		accepted := cfg.Classes[0]
@@ -167,7 +175,7 @@
 		if queued {
 			r.step(job) // no worker has reported free slots yet
 		}
-		r.step(ConfigChanged{Config: testConfig()})
+		r.step(ConfigChanged{Config: c.next})
 		if !queued {
 			r.step(job)
 		}
@@ -181,13 +189,13 @@
 			r.step(TimerFired{})
 			if sent := actionsOf[Send](r.actions); len(sent) > 0 {
 				if sent[0].Worker != "g" {
-					t.Errorf("queued before %v: sent to %s, want the worker of its kind", queued, sent[0].Worker)
+					t.Errorf("queued before %v, %d classes then: sent to %s, want the worker of its kind", queued, len(c.next.Classes), sent[0].Worker)
 				}
 				break
 			}
 		}
 		if len(actionsOf[Send](r.actions)) == 0 {
-			t.Errorf("queued before %v: not sent within 5 s", queued)
+			t.Errorf("queued before %v, %d classes then: not sent within 5 s", queued, len(c.next.Classes))
 		}
 	}
 }
