--- a/cmd/bellstream/errors_test.go
+++ b/cmd/bellstream/errors_test.go
@@ -42,7 +42,7 @@
 		&consensus.TooLargeError{Size: 2, Limit: 1}, &consensus.OverloadedError{Queue: "reads"}, &consensus.DiskFullError{Path: "/x", OutcomeUnknown: true}, &consensus.CorruptFileError{Path: "/x", Record: "entry 1", Err: errSample},
 		&consensus.DataLostError{Name: "n1", Dir: "/x"}, &consensus.NotVoterError{Name: "n1", Reason: "why"}, &consensus.ChangeRejectedError{Reason: "why"}, &consensus.UnreachableError{Address: "at", Err: errSample},
 		&consensus.WrongClusterError{Address: "at"}, &consensus.UnavailableError{Address: "at", Reason: (&consensus.NoQuorumError{}).Error()}},
-	"internal/cluster/shard": {shard.StaleEpochError{}, shard.AttemptInFlightError{}, shard.DuplicateJobError{}, shard.JobFinishedError{}, shard.NotFoundError{}, shard.StaleAttemptError{}, shard.MayHaveRunError{},
+	"internal/cluster/shard": {shard.StaleEpochError{}, shard.AttemptInFlightError{}, shard.DuplicateJobError{}, shard.JobFinishedError{}, shard.NotFoundError{}, shard.StaleAttemptError{}, shard.MayHaveRunError{}, shard.OutsideDedupScopeError{Shard: 1, ID: "j", Worker: "w"},
 		shard.GrantRevokedError{}, shard.GrantPendingError{}, shard.NotOwnerError{}, shard.OwnerFullError{}, shard.TransferRejectedError{}, shard.NoMembersError{}},
 	"internal/cluster/migration": {&migration.InsufficientCapacityError{}, &migration.MoveRejectedError{Reason: "why"}, &migration.MoveRejectedError{Cause: &migration.InsufficientCapacityError{}}, &migration.StaleMoveError{}},
 }
