--- /dev/null
+++ b/review/stand-2/discovery.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	pollPeriod  = 5 * time.Millisecond
+	blankPeriod = 2 * time.Second
+)
+
+// entry is a zone worker as discovery lists it. Dials has the address for each dispatcher.
+type entry struct {
+	Host   string
+	Dials  []string
+	Site   string
+	Class  string
+	Block  int
+	Health string
+	BornMS int64
+}
+
+// change is one version of the list.
+type change struct {
+	entry
+	seq     int
+	visible []time.Time // when each dispatcher may see it
+}
+
+// discovery is the service that lists the zone workers. Each dispatcher has an address of its own, so that a list can
+// reach it later than the others.
+type discovery struct {
+	record *record
+	addrs  []string
+
+	mu      sync.Mutex
+	changes []change
+	late    []time.Duration     // how much later than made each dispatcher sees a change
+	told    []map[int]time.Time // by dispatcher and version: when it was written to it
+	muted   []bool              // the link of this dispatcher is cut: nothing is written, no call is answered
+}
+
+func newDiscovery(rec *record, dispatchers int) (*discovery, error) {
+	d := &discovery{record: rec, late: make([]time.Duration, dispatchers), muted: make([]bool, dispatchers)}
+	for i := range dispatchers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		d.addrs = append(d.addrs, l.Addr().String())
+		d.told = append(d.told, map[int]time.Time{})
+		go func() {
+			_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(i, w, r) }))
+		}()
+	}
+	return d, nil
+}
+
+// set makes a new version of the list.
+func (d *discovery) set(e entry) (seq int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	c := change{entry: e, seq: len(d.changes) + 1}
+	for _, late := range d.late {
+		c.visible = append(c.visible, now.Add(late))
+	}
+	d.changes = append(d.changes, c)
+	d.record.addAt(now, "discovery: version %d: %s is %s", c.seq, e.Host, e.Health)
+	return c.seq
+}
+
+func (d *discovery) setLate(dispatcher int, late time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.late[dispatcher] = late
+}
+
+// seen returns the changes that a dispatcher may see now.
+func (d *discovery) seen(dispatcher int) (list []change, muted bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, c := range d.changes {
+		if now.Before(c.visible[dispatcher]) {
+			break
+		}
+		list = append(list, c)
+	}
+	return list, d.muted[dispatcher]
+}
+
+// toldAt returns when a version was written to a dispatcher.
+func (d *discovery) toldAt(dispatcher, seq int) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.told[dispatcher][seq]
+	return t, ok
+}
+
+func (d *discovery) noteTold(dispatcher, seq int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for n := seq; n > 0; n-- {
+		if _, known := d.told[dispatcher][n]; known {
+			break
+		}
+		d.told[dispatcher][n] = time.Now()
+		d.record.add("discovery: version %d written to n%d", n, dispatcher)
+	}
+}
+
+type hostJSON struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"`
+}
+
+type listJSON struct {
+	Seq   int        `json:"seq"`
+	Whole bool       `json:"whole"`
+	Hosts []hostJSON `json:"hosts"`
+}
+
+func (c *change) json(dispatcher int) hostJSON {
+	return hostJSON{c.Host, c.Dials[dispatcher], c.Site, c.Class, c.Block, c.Health, 1, c.BornMS}
+}
+
+// whole returns the complete list after some changes.
+func whole(dispatcher int, changes []change) listJSON {
+	list := listJSON{Whole: true, Hosts: []hostJSON{}}
+	last := map[string]*change{}
+	var order []string
+	for i := range changes {
+		c := &changes[i]
+		if last[c.Host] == nil {
+			order = append(order, c.Host)
+		}
+		last[c.Host] = c
+		list.Seq = c.seq
+	}
+	for _, host := range order {
+		if last[host].Health != "left" {
+			list.Hosts = append(list.Hosts, last[host].json(dispatcher))
+		}
+	}
+	return list
+}
+
+func (d *discovery) serve(dispatcher int, w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/servers" {
+		http.NotFound(w, r)
+		return
+	}
+	changes, muted := d.seen(dispatcher)
+	if muted { // behind a cut link: no answer comes
+		<-r.Context().Done()
+		return
+	}
+	if r.URL.Query().Get("stream") != "1" {
+		_ = json.NewEncoder(w).Encode(whole(dispatcher, changes))
+		return
+	}
+	at, _ := strconv.Atoi(r.URL.Query().Get("index"))
+	first := whole(dispatcher, changes)
+	if at > 0 && at <= len(changes) {
+		first = delta(dispatcher, changes, at)
+	}
+	flusher := w.(http.Flusher)
+	write := func(list listJSON) {
+		_ = json.NewEncoder(w).Encode(list)
+		flusher.Flush()
+		d.noteTold(dispatcher, list.Seq)
+	}
+	write(first)
+	sent := len(changes)
+	lastWrite := time.Now()
+	for r.Context().Err() == nil {
+		time.Sleep(pollPeriod)
+		changes, muted = d.seen(dispatcher)
+		switch {
+		case muted: // a broken watch says nothing more
+			<-r.Context().Done()
+			return
+		case len(changes) > sent:
+			write(delta(dispatcher, changes, sent))
+			sent = len(changes)
+			lastWrite = time.Now()
+		case time.Since(lastWrite) >= blankPeriod:
+			_, _ = w.Write([]byte("\n"))
+			flusher.Flush()
+			lastWrite = time.Now()
+		}
+	}
+}
+
+// delta returns what changed after a version.
+func delta(dispatcher int, changes []change, after int) listJSON {
+	list := listJSON{Seq: len(changes), Hosts: []hostJSON{}}
+	for i := after; i < len(changes); i++ {
+		list.Hosts = append(list.Hosts, changes[i].json(dispatcher))
+	}
+	return list
+}
--- /dev/null
+++ b/review/stand-2/process.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// dispatcher is one process of the program, started with the command of the deploy file.
+type dispatcher struct {
+	record *record
+	index  int
+	name   string
+	listen string
+	admin  string
+	dir    string // temporary folder: configuration, operator's file, log
+	env    []string
+	cmd    *exec.Cmd
+	ended  chan struct{}
+}
+
+// runCommand reads the command that starts a dispatcher from the deploy file.
+func runCommand(root string) (string, error) {
+	raw, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	if err != nil {
+		return "", err
+	}
+	m := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindSubmatch(raw)
+	if m == nil {
+		return "", fmt.Errorf("the deploy file has no run command")
+	}
+	return string(m[1]), nil
+}
+
+// freePorts returns addresses that were free a moment ago.
+func freePorts(n int) (addrs []string, err error) {
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() //nolint:errcheck // nothing was accepted
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// start starts the process; its log is appended to a file in its folder.
+func (d *dispatcher) start(root string) error {
+	command, err := runCommand(root)
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(d.dir, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close() //nolint:errcheck // the process has its own descriptor
+	cmd := exec.Command("/bin/sh", "-c", command)
+	cmd.Dir = root
+	cmd.Env = append(os.Environ(), d.env...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		d.record.add("%s: process %d ended: %v", d.name, cmd.Process.Pid, cmd.ProcessState)
+		close(ended)
+	}()
+	d.cmd, d.ended = cmd, ended
+	d.record.add("%s: process %d started", d.name, cmd.Process.Pid)
+	return nil
+}
+
+// end kills the process, if it still runs, and waits for it.
+func (d *dispatcher) end() {
+	if d.cmd == nil {
+		return
+	}
+	_ = syscall.Kill(-d.cmd.Process.Pid, syscall.SIGKILL)
+	<-d.ended
+}
+
+// ready waits until /healthz answers 200.
+func (d *dispatcher) ready(within time.Duration) error {
+	return until(within, d.name+" to be ready", func() bool {
+		code, _ := get("http://" + d.listen + "/healthz")
+		return code == http.StatusOK
+	})
+}
+
+// ask reads JSON from the admin listener.
+func (d *dispatcher) ask(path string, into any) bool {
+	code, body := get("http://" + d.admin + path)
+	return code == http.StatusOK && json.Unmarshal(body, into) == nil
+}
+
+var getter = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func get(url string) (code int, body []byte) {
+	answer, err := getter.Get(url)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close() //nolint:errcheck // read only
+	body, err = io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, body
+}
+
+// until waits for a condition.
+func until(within time.Duration, what string, done func() bool) error {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if done() {
+			return nil
+		}
+	}
+	return fmt.Errorf("waited %v in vain for %s", within, what)
+}
+
+// logOf returns the end of a process's log.
+func (d *dispatcher) logOf(most int) string {
+	raw, _ := os.ReadFile(filepath.Join(d.dir, "log"))
+	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	return strings.Join(lines[max(0, len(lines)-most):], "\n")
+}
--- /dev/null
+++ b/review/stand-2/site.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// site is a small deployment: a few dispatchers, zone workers, discovery and clients.
+type site struct {
+	root        string
+	dir         string
+	record      *record
+	trouble     bool
+	discovery   *discovery
+	fleet       *fleet
+	dispatchers []*dispatcher
+	clients     *clients
+}
+
+// newSite makes the site's folder and record, without processes.
+func newSite(root, folder string, trouble bool) (*site, error) {
+	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "stand-2-")
+	if err != nil {
+		return nil, err
+	}
+	rec.add("trouble: %v", trouble)
+	return &site{root: root, dir: dir, record: rec, trouble: trouble}, nil
+}
+
+// close ends all processes.
+func (s *site) close() {
+	for _, d := range s.dispatchers {
+		d.end()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(s.dir)
+	}
+	s.record.close()
+}
+
+// lane is a class in the settings.
+type lane map[string]any
+
+// settings returns the settings of dispatcher me of n, those of the small deployment of the simulator's page, with
+// changes.
+func settings(me, n int, lanes []lane, change map[string]any) map[string]any {
+	kinds := make([]int, len(lanes))
+	stretches := make([]float64, len(lanes))
+	priorities := make([]int, len(lanes))
+	for i := range kinds {
+		kinds[i], stretches[i] = -1, 2
+	}
+	s := map[string]any{
+		"azs": []string{"sentrum", "fana"}, "balancers": n, "me": me, "zone": "sentrum",
+		"caps": map[string]any{"cancelling": true, "cpu_us_per_request": 0.0, "cpu_us_per_s": 15000,
+			"dial_timeout": 0.25,
+			"keepalive":    15.0, "max_attempts": 3, "max_retry_after": 2.0, "open_cap": 20000, "parallel_tries": false,
+			"peers": false, "probes": true, "retry_after": true, "streams_per_conn": 1},
+		"charges": map[string]any{"connection": 0.0, "cross_zone": 0.015, "handshake": 0.0, "late_fail": 0.034,
+			"membership_mode": 0.0, "moves": 0.0, "origin": 0.0, "peer": 0.0, "probe": 0.01, "waste": 0.25},
+		"clients": map[string]any{"marks_retry": true}, "counted_by": "request", "family": "jobs",
+		"family_info": map[string]any{"class_kind": kinds, "class_priority": priorities, "class_stretch": stretches,
+			"memory_unit": "a worker has one unit for each slot", "notes": "1 it has started, 2 share done",
+			"progress": 1.0, "queue_order": "fifo", "report_x0": "free slots", "report_x1": "free memory",
+			"tells_start": true},
+		"goal":  map[string]any{"whole": 0.5, "worst_class": 0.35, "worst_tenant": 0.1, "worst_window": 0.05},
+		"kinds": []string{"stor-5k"}, "lanes": lanes, "membership_mode": "on_request", "over_share_worth": 0.1,
+		"parties": []map[string]any{{"name": "fjordmat", "quota_per_s": 14.0, "share": 0.33},
+			{"name": "bryggekjokken", "quota_per_s": 13.0, "share": 0.31},
+			{"name": "nordpizza", "quota_per_s": 8.0, "share": 0.18},
+			{"name": "smaabiten", "quota_per_s": 8.0, "share": 0.18}},
+		"reporting": map[string]any{"fields": []string{"avg_ms", "waiting", "x0", "x1"}, "how": "pull"},
+		"round":     0.004,
+		"rules": map[string]any{"ask_every": 10.0, "cold_from": 0.3, "drain_grace": 2.0, "fall": 3.0,
+			"fall_multiple": 3.0, "grace_to_answer": 0.016, "warm_after": 8.6},
+		"stages": []string{"soneserver"}, "tier": 0, "weight_source": "silent",
+	}
+	maps.Copy(s, change)
+	return s
+}
+
+var tenants = []string{"fjordmat", "bryggekjokken", "nordpizza", "smaabiten"}
+
+// usual are the classes of the small deployment.
+func usual() []lane {
+	return []lane{
+		{"name": "sone-oppslag", "aim": 0.15, "hard_limit": 5.0, "semantics": "safe", "value": 5.0, "late_worth": 0.0,
+			"streamed": false, "dedup_scope": "all", "repeat_window": 5.0},
+		{"name": "kurer-tildeling", "aim": 0.6, "hard_limit": 25.0, "semantics": "unsafe", "value": 10.0,
+			"late_worth": 0.0, "streamed": false, "dedup_scope": "all", "repeat_window": 5.0},
+		{"name": "sone-endring", "aim": 0.3, "hard_limit": 8.0, "semantics": "keyed", "value": 8.0, "late_worth": 0.0,
+			"streamed": false, "dedup_scope": "zone", "repeat_window": 12.0},
+	}
+}
+
+// addDispatcher prepares a dispatcher's folder and configuration. The operator's file may be empty.
+func (s *site) addDispatcher(n int, lanes []lane, change map[string]any) (*dispatcher, error) {
+	i := len(s.dispatchers)
+	ports, err := freePorts(2)
+	if err != nil {
+		return nil, err
+	}
+	d := &dispatcher{record: s.record, index: i, name: fmt.Sprintf("n%d", i), listen: ports[0], admin: ports[1],
+		dir: filepath.Join(s.dir, fmt.Sprintf("n%d", i))}
+	if err := os.MkdirAll(filepath.Join(d.dir, "tmp"), 0o700); err != nil {
+		return nil, err
+	}
+	d.env = []string{"RELAY_NAME=" + d.name, "RELAY_LISTEN=" + d.listen, "RELAY_DISCOVERY=" + s.discovery.addrs[i],
+		"RELAY_CONFIG=" + filepath.Join(d.dir, "config.json"), "TMPDIR=" + filepath.Join(d.dir, "tmp")}
+	s.dispatchers = append(s.dispatchers, d)
+	return d, s.configure(d, n, lanes, change, nil)
+}
+
+// configure writes a dispatcher's configuration; more are further keys beside the settings.
+func (s *site) configure(d *dispatcher, n int, lanes []lane, change, more map[string]any) error {
+	conf := map[string]any{"name": d.name, "listen": d.listen, "discovery": s.discovery.addrs[d.index],
+		"seed":     fmt.Sprintf("%016x", 0x8c1f30d27a5be900+uint64(d.index)),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"seq": 0, "whole": true, "hosts": []string{}},
+		"settings": settings(d.index, n, lanes, change)}
+	maps.Copy(conf, more)
+	raw, err := json.MarshalIndent(conf, "", " ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(d.dir, "config.json")
+	if err := os.WriteFile(path+".new", raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// operatorsFile writes a dispatcher's operator's file and has the process read it.
+func (d *dispatcher) operatorsFile(text string) error {
+	path := filepath.Join(d.dir, "operators.hcl")
+	if !slices.Contains(d.env, "BELLSTREAM_FILE="+path) {
+		d.env = append(d.env, "BELLSTREAM_FILE="+path)
+	}
+	return os.WriteFile(path, []byte(text), 0o600)
+}
+
+// shardFiles writes operator's files that switch on shards in all dispatchers: the first three vote, owners may be
+// those that are named.
+func (s *site) shardFiles(shards int, owners []string) error {
+	n := len(s.dispatchers)
+	ports, err := freePorts(2 * n)
+	if err != nil {
+		return err
+	}
+	var voters, instances, quoted []string
+	for i, d := range s.dispatchers {
+		if i < 3 {
+			voters = append(voters, fmt.Sprintf("%s = %q", d.name, ports[i]))
+		}
+		instances = append(instances, fmt.Sprintf("%s = %q", d.name, ports[n+i]))
+	}
+	for _, o := range owners {
+		quoted = append(quoted, fmt.Sprintf("%q", o))
+	}
+	for i, d := range s.dispatchers {
+		state := filepath.Join(d.dir, "state")
+		if err := os.MkdirAll(state, 0o700); err != nil {
+			return err
+		}
+		text := fmt.Sprintf("admin {\n  listen = %q\n}\naccord {\n  cluster = \"stand\"\n  listen = %q\n"+
+			"  folder = %q\n  voters = { %s }\n}\nshards {\n  count = %d\n  listen = %q\n  instances = { %s }\n}\n"+
+			"rules {\n  based_on = 0\n  instances = [%s]\n}\n",
+			d.admin, ports[i], state, strings.Join(voters, ", "), shards, ports[n+i], strings.Join(instances, ", "),
+			strings.Join(quoted, ", "))
+		if err := d.operatorsFile(text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startAll starts all dispatchers and waits until they serve.
+func (s *site) startAll() error {
+	for _, d := range s.dispatchers {
+		if err := d.start(s.root); err != nil {
+			return err
+		}
+	}
+	for _, d := range s.dispatchers {
+		if err := d.ready(20 * time.Second); err != nil {
+			return fmt.Errorf("%w; its log ends:\n%s", err, d.logOf(10))
+		}
+	}
+	return nil
+}
+
+// waitForOwners waits until all shards have an owner that grants.
+func (s *site) waitForOwners(shards int) error {
+	return until(30*time.Second, "every shard to have an owner", func() bool {
+		owned := 0
+		for _, d := range s.dispatchers {
+			var status struct {
+				Seated int `json:"seated"`
+			}
+			if !d.ask("/shards", &status) {
+				return false
+			}
+			owned += status.Seated
+		}
+		return owned == shards
+	})
+}
+
+func (s *site) addrs() (list []string) {
+	for _, d := range s.dispatchers {
+		list = append(list, d.listen)
+	}
+	return list
+}
