--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -47,14 +47,13 @@
 }
 
 // send sends one job in the background.
-func (c *clients) send(to int, class, tenant string, patience time.Duration, header map[string]string) *job {
+func (c *clients) send(to int, class, tenant string, patience time.Duration, header map[string]string) {
 	c.mu.Lock()
 	c.next++
 	j := &job{id: fmt.Sprintf("%s%012x", c.prefix, c.next), class: class, tenant: tenant, to: to, patient: patience}
 	c.jobs = append(c.jobs, j)
 	c.mu.Unlock()
 	c.wg.Go(func() { c.do(j, header) })
-	return j
 }
 
 func (c *clients) do(j *job, header map[string]string) {
--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -34,7 +34,7 @@
 		}
 	}
 	for range n {
-		if _, err := s.addDispatcher(n, usual(), nil); err != nil {
+		if err := s.addDispatcher(n, usual(), nil); err != nil {
 			return false, err
 		}
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,7 +23,8 @@
 type play func(s *site) (ruleHeld bool, err error)
 
 var cases = map[string]play{
-	"drain": playDrain,
+	"brokenfile": playBrokenFile,
+	"drain":      playDrain,
 }
 
 func main() { os.Exit(run0()) }
--- a/review/stand-2/process.go
+++ b/review/stand-2/process.go
@@ -84,6 +84,11 @@
 	return nil
 }
 
+func (d *dispatcher) signal(s syscall.Signal) {
+	d.record.add("%s: %v", d.name, s)
+	_ = d.cmd.Process.Signal(s)
+}
+
 // end kills the process, if it still runs, and waits for it.
 func (d *dispatcher) end() {
 	if d.cmd == nil {
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -104,21 +104,21 @@
 }
 
 // addDispatcher prepares a dispatcher's folder and configuration. The operator's file may be empty.
-func (s *site) addDispatcher(n int, lanes []lane, change map[string]any) (*dispatcher, error) {
+func (s *site) addDispatcher(n int, lanes []lane, change map[string]any) error {
 	i := len(s.dispatchers)
 	ports, err := freePorts(2)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	d := &dispatcher{record: s.record, index: i, name: fmt.Sprintf("n%d", i), listen: ports[0], admin: ports[1],
 		dir: filepath.Join(s.dir, fmt.Sprintf("n%d", i))}
 	if err := os.MkdirAll(filepath.Join(d.dir, "tmp"), 0o700); err != nil {
-		return nil, err
+		return err
 	}
 	d.env = []string{"RELAY_NAME=" + d.name, "RELAY_LISTEN=" + d.listen, "RELAY_DISCOVERY=" + s.discovery.addrs[i],
 		"RELAY_CONFIG=" + filepath.Join(d.dir, "config.json"), "TMPDIR=" + filepath.Join(d.dir, "tmp")}
 	s.dispatchers = append(s.dispatchers, d)
-	return d, s.configure(d, n, lanes, change, nil)
+	return s.configure(d, n, lanes, change, nil)
 }
 
 // configure writes a dispatcher's configuration; more are further keys beside the settings.
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// quickly is the time after which a request fails at a zone worker that fails quickly.
+const quickly = 20 * time.Millisecond
+
 // run is one request that came to a zone worker.
 type run struct {
 	worker  string
@@ -37,6 +40,7 @@
 	mu      sync.Mutex
 	running int
 	queue   []chan struct{}
+	failing float64 // share of the requests that fail quickly, after they have started
 }
 
 // fleet is all zone workers.
@@ -108,6 +112,13 @@
 	defer w.free()
 	w.note(x, func() { x.started = time.Now() })
 	line(rw, x, `"state":"started"`)
+	if w.fails() {
+		time.Sleep(quickly)
+		w.note(x, func() { x.ended = time.Now() })
+		w.fleet.record.add("%s: request %s failed", w.name, x.id)
+		line(rw, x, `"state":"failed"`)
+		return
+	}
 	select {
 	case <-time.After(span):
 	case <-r.Context().Done(): // the dispatcher gave it up; what runs goes on, without an answer
@@ -128,6 +139,23 @@
 	rw.(http.Flusher).Flush()
 }
 
+// fails draws whether the next request fails.
+func (w *worker) fails() bool {
+	w.mu.Lock()
+	share := w.failing
+	w.mu.Unlock()
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.fleet.rng.Float64() < share
+}
+
+func (w *worker) setFailing(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = share
+	w.fleet.record.add("%s: %.0f %% of its requests fail", w.name, share*100)
+}
+
 // take waits for a free slot, and returns false if the request was given up before.
 func (w *worker) take(r *http.Request) bool {
 	w.mu.Lock()
