Review, case 10: a new version beside the old one sends to a worker that drains

Read for this: dispatcher/watch.go, handoff/statedir.

Done: review/10, a script in which the new version starts while discovery is down, with the list from before a drain that the old process was told of. Case 6, a late list at a shard's owner, is removed: review/3 shows the same fault; what the stand-ins had for it alone goes too.

--- a/review/stand-2/brokenfile.go
+++ b/review/stand-2/brokenfile.go
@@ -22,10 +22,10 @@
 	if s.discovery, err = newDiscovery(s.record, n); err != nil {
 		return false, err
 	}
-	s.fleet = newFleet(s.record, 1, func(string, *rand.Rand) time.Duration { return 300 * time.Millisecond })
+	s.fleet = newFleet(s.record, func(string, *rand.Rand) time.Duration { return 300 * time.Millisecond })
 	var first *worker
 	for i := range 6 { // one of six fails: 17 %, at most 19 % may
-		w, err := s.fleet.add("s-0badcaf"+string(rune('a'+i)), "sentrum", 5, n)
+		w, err := s.fleet.add("s-0badcaf"+string(rune('a'+i)), "sentrum", n)
 		if err != nil {
 			return false, err
 		}
@@ -35,7 +35,7 @@
 		}
 	}
 	for range n {
-		if err := s.addDispatcher(n, usual(), nil); err != nil {
+		if err := s.addDispatcher(n); err != nil {
 			return false, err
 		}
 	}
--- a/review/stand-2/discovery.go
+++ b/review/stand-2/discovery.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -28,25 +29,23 @@
 // change is one version of the list.
 type change struct {
 	entry
-	seq     int
-	visible []time.Time // when each dispatcher may see it
+	seq int
 }
 
-// discovery is the service that lists the zone workers. Each dispatcher has an address of its own, so that a list can
-// reach it later than the others.
+// discovery is the service that lists the zone workers. Each dispatcher has an address of its own, so that the record
+// says what was written to whom.
 type discovery struct {
 	record *record
 	addrs  []string
 
 	mu      sync.Mutex
 	changes []change
-	late    []time.Duration     // how much later than made each dispatcher sees a change
 	told    []map[int]time.Time // by dispatcher and version: when it was written to it
-	muted   []bool              // the link of this dispatcher is cut: nothing is written, no call is answered
+	down    bool                // calls and watches end at once
 }
 
 func newDiscovery(rec *record, dispatchers int) (*discovery, error) {
-	d := &discovery{record: rec, late: make([]time.Duration, dispatchers), muted: make([]bool, dispatchers)}
+	d := &discovery{record: rec}
 	for i := range dispatchers {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -67,32 +66,24 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	c := change{entry: e, seq: len(d.changes) + 1}
-	for _, late := range d.late {
-		c.visible = append(c.visible, now.Add(late))
-	}
 	d.changes = append(d.changes, c)
 	d.record.addAt(now, "discovery: version %d: %s is %s", c.seq, e.Host, e.Health)
 	return c.seq
 }
 
-func (d *discovery) setLate(dispatcher int, late time.Duration) {
+// setDown takes discovery down, or brings it back.
+func (d *discovery) setDown(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.late[dispatcher] = late
+	d.down = on
+	d.record.add("discovery: down: %v", on)
 }
 
-// seen returns the changes that a dispatcher may see now.
-func (d *discovery) seen(dispatcher int) (list []change, muted bool) {
+// seen returns the changes so far, and whether discovery is down.
+func (d *discovery) seen() (list []change, down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
-	for _, c := range d.changes {
-		if now.Before(c.visible[dispatcher]) {
-			break
-		}
-		list = append(list, c)
-	}
-	return list, d.muted[dispatcher]
+	return slices.Clone(d.changes), d.down
 }
 
 // toldAt returns when a version was written to a dispatcher.
@@ -162,10 +153,9 @@
 		http.NotFound(w, r)
 		return
 	}
-	changes, muted := d.seen(dispatcher)
-	if muted { // behind a cut link: no answer comes
-		<-r.Context().Done()
-		return
+	changes, down := d.seen()
+	if down {
+		panic(http.ErrAbortHandler) // the connection ends without an answer
 	}
 	if r.URL.Query().Get("stream") != "1" {
 		_ = json.NewEncoder(w).Encode(whole(dispatcher, changes))
@@ -187,11 +177,10 @@
 	lastWrite := time.Now()
 	for r.Context().Err() == nil {
 		time.Sleep(pollPeriod)
-		changes, muted = d.seen(dispatcher)
+		changes, down = d.seen()
 		switch {
-		case muted: // a broken watch says nothing more
-			<-r.Context().Done()
-			return
+		case down:
+			panic(http.ErrAbortHandler)
 		case len(changes) > sent:
 			write(delta(dispatcher, changes, sent))
 			sent = len(changes)
--- a/review/stand-2/halfclose.go
+++ b/review/stand-2/halfclose.go
@@ -63,16 +63,16 @@
 	if s.discovery, err = newDiscovery(s.record, 2); err != nil {
 		return false, err
 	}
-	s.fleet = newFleet(s.record, 1, func(string, *rand.Rand) time.Duration { return 300 * time.Millisecond })
+	s.fleet = newFleet(s.record, func(string, *rand.Rand) time.Duration { return 300 * time.Millisecond })
 	for i, zone := range []string{"sentrum", "sentrum", "fana", "fana"} {
-		w, err := s.fleet.add("s-0badcaf"+string(rune('a'+i)), zone, 5, 2)
+		w, err := s.fleet.add("s-0badcaf"+string(rune('a'+i)), zone, 2)
 		if err != nil {
 			return false, err
 		}
 		s.discovery.set(w.entry("active"))
 	}
 	for range 2 {
-		if err := s.addDispatcher(2, usual(), nil); err != nil {
+		if err := s.addDispatcher(2); err != nil {
 			return false, err
 		}
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -24,8 +24,8 @@
 
 var cases = map[string]play{
 	"brokenfile": playBrokenFile,
-	"drain":      playDrain,
 	"halfclose":  playHalfClose,
+	"upgrade":    playUpgrade,
 }
 
 func main() { os.Exit(run0()) }
--- a/review/stand-2/process.go
+++ b/review/stand-2/process.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,15 +17,16 @@
 
 // dispatcher is one process of the program, started with the command of the deploy file.
 type dispatcher struct {
-	record *record
-	index  int
-	name   string
-	listen string
-	admin  string
-	dir    string // temporary folder: configuration, operator's file, log
-	env    []string
-	cmd    *exec.Cmd
-	ended  chan struct{}
+	record  *record
+	index   int
+	name    string
+	listen  string
+	control string
+	dir     string // temporary folder: configuration, operator's file, log
+	env     []string
+	socket  *os.File // the clients' listening socket, if the platform holds it
+	cmd     *exec.Cmd
+	ended   chan struct{}
 }
 
 // runCommand reads the command that starts a dispatcher from the deploy file.
@@ -41,15 +42,23 @@
 	return string(m[1]), nil
 }
 
+// nextPort is the next port to try. Ports below the range from which the system gives outgoing connections theirs are
+// not taken by these meanwhile.
+var nextPort = 15000 + rand.IntN(12000)
+
 // freePorts returns addresses that were free a moment ago.
 func freePorts(n int) (addrs []string, err error) {
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addrs) < n; tries++ {
+		nextPort++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
 		if err != nil {
-			return nil, err
+			if tries > 1000 {
+				return nil, err
+			}
+			continue
 		}
-		defer l.Close() //nolint:errcheck // nothing was accepted
 		addrs = append(addrs, l.Addr().String())
+		_ = l.Close()
 	}
 	return addrs, nil
 }
@@ -69,6 +78,10 @@
 	cmd.Dir = root
 	cmd.Env = append(os.Environ(), d.env...)
 	cmd.Stdout, cmd.Stderr = log, log
+	if d.socket != nil {
+		cmd.ExtraFiles = []*os.File{d.socket}
+		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=3")
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
@@ -89,6 +102,19 @@
 	_ = d.cmd.Process.Signal(s)
 }
 
+// saysYes asks for the status at the process's second address.
+func (d *dispatcher) saysYes() bool {
+	c, err := net.DialTimeout("tcp", d.control, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close() //nolint:errcheck // read only
+	c.SetDeadline(time.Now().Add(time.Second))
+	_, _ = io.WriteString(c, "STATUS\n")
+	answer, _ := io.ReadAll(c)
+	return strings.HasPrefix(string(answer), "ok")
+}
+
 // end kills the process, if it still runs, and waits for it.
 func (d *dispatcher) end() {
 	if d.cmd == nil {
@@ -106,12 +132,6 @@
 	})
 }
 
-// ask reads JSON from the admin listener.
-func (d *dispatcher) ask(path string, into any) bool {
-	code, body := get("http://" + d.admin + path)
-	return code == http.StatusOK && json.Unmarshal(body, into) == nil
-}
-
 var getter = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func get(url string) (code int, body []byte) {
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -6,8 +6,6 @@
 	"maps"
 	"os"
 	"path/filepath"
-	"slices"
-	"strings"
 	"time"
 )
 
@@ -103,14 +101,14 @@
 	}
 }
 
-// addDispatcher prepares a dispatcher's folder and configuration. The operator's file may be empty.
-func (s *site) addDispatcher(n int, lanes []lane, change map[string]any) error {
+// addDispatcher prepares the folder and the configuration of one of n dispatchers.
+func (s *site) addDispatcher(n int) error {
 	i := len(s.dispatchers)
-	ports, err := freePorts(2)
+	ports, err := freePorts(1)
 	if err != nil {
 		return err
 	}
-	d := &dispatcher{record: s.record, index: i, name: fmt.Sprintf("n%d", i), listen: ports[0], admin: ports[1],
+	d := &dispatcher{record: s.record, index: i, name: fmt.Sprintf("n%d", i), listen: ports[0],
 		dir: filepath.Join(s.dir, fmt.Sprintf("n%d", i))}
 	if err := os.MkdirAll(filepath.Join(d.dir, "tmp"), 0o700); err != nil {
 		return err
@@ -118,7 +116,7 @@
 	d.env = []string{"RELAY_NAME=" + d.name, "RELAY_LISTEN=" + d.listen, "RELAY_DISCOVERY=" + s.discovery.addrs[i],
 		"RELAY_CONFIG=" + filepath.Join(d.dir, "config.json"), "TMPDIR=" + filepath.Join(d.dir, "tmp")}
 	s.dispatchers = append(s.dispatchers, d)
-	return s.configure(d, n, lanes, change, nil)
+	return s.configure(d, n, usual(), nil, nil)
 }
 
 // configure writes a dispatcher's configuration; more are further keys beside the settings.
@@ -140,50 +138,6 @@
 	return os.Rename(path+".new", path)
 }
 
-// operatorsFile writes a dispatcher's operator's file and has the process read it.
-func (d *dispatcher) operatorsFile(text string) error {
-	path := filepath.Join(d.dir, "operators.hcl")
-	if !slices.Contains(d.env, "BELLSTREAM_FILE="+path) {
-		d.env = append(d.env, "BELLSTREAM_FILE="+path)
-	}
-	return os.WriteFile(path, []byte(text), 0o600)
-}
-
-// shardFiles writes operator's files that switch on shards in all dispatchers: the first three vote, owners may be
-// those that are named.
-func (s *site) shardFiles(shards int, owners []string) error {
-	n := len(s.dispatchers)
-	ports, err := freePorts(2 * n)
-	if err != nil {
-		return err
-	}
-	var voters, instances, quoted []string
-	for i, d := range s.dispatchers {
-		if i < 3 {
-			voters = append(voters, fmt.Sprintf("%s = %q", d.name, ports[i]))
-		}
-		instances = append(instances, fmt.Sprintf("%s = %q", d.name, ports[n+i]))
-	}
-	for _, o := range owners {
-		quoted = append(quoted, fmt.Sprintf("%q", o))
-	}
-	for i, d := range s.dispatchers {
-		state := filepath.Join(d.dir, "state")
-		if err := os.MkdirAll(state, 0o700); err != nil {
-			return err
-		}
-		text := fmt.Sprintf("admin {\n  listen = %q\n}\naccord {\n  cluster = \"stand\"\n  listen = %q\n"+
-			"  folder = %q\n  voters = { %s }\n}\nshards {\n  count = %d\n  listen = %q\n  instances = { %s }\n}\n"+
-			"rules {\n  based_on = 0\n  instances = [%s]\n}\n",
-			d.admin, ports[i], state, strings.Join(voters, ", "), shards, ports[n+i], strings.Join(instances, ", "),
-			strings.Join(quoted, ", "))
-		if err := d.operatorsFile(text); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // startAll starts all dispatchers and waits until they serve.
 func (s *site) startAll() error {
 	for _, d := range s.dispatchers {
@@ -199,23 +153,6 @@
 	return nil
 }
 
-// waitForOwners waits until all shards have an owner that grants.
-func (s *site) waitForOwners(shards int) error {
-	return until(30*time.Second, "every shard to have an owner", func() bool {
-		owned := 0
-		for _, d := range s.dispatchers {
-			var status struct {
-				Seated int `json:"seated"`
-			}
-			if !d.ask("/shards", &status) {
-				return false
-			}
-			owned += status.Seated
-		}
-		return owned == shards
-	})
-}
-
 func (s *site) addrs() (list []string) {
 	for _, d := range s.dispatchers {
 		list = append(list, d.listen)
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -14,6 +14,9 @@
 // quickly is the time after which a request fails at a zone worker that fails quickly.
 const quickly = 20 * time.Millisecond
 
+// workerSlots is the number of slots of each zone worker.
+const workerSlots = 5
+
 // run is one request that came to a zone worker.
 type run struct {
 	worker  string
@@ -54,12 +57,12 @@
 	runs    []*run
 }
 
-func newFleet(rec *record, seed uint64, work func(path string, r *rand.Rand) time.Duration) *fleet {
-	return &fleet{record: rec, work: work, rng: rand.New(rand.NewPCG(seed, 1))}
+func newFleet(rec *record, work func(path string, r *rand.Rand) time.Duration) *fleet {
+	return &fleet{record: rec, work: work, rng: rand.New(rand.NewPCG(1, 1))}
 }
 
-func (f *fleet) add(name, zone string, slots, dispatchers int) (*worker, error) {
-	w := &worker{fleet: f, name: name, zone: zone, slots: slots}
+func (f *fleet) add(name, zone string, dispatchers int) (*worker, error) {
+	w := &worker{fleet: f, name: name, zone: zone, slots: workerSlots}
 	for i := range dispatchers {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
