--- /dev/null
+++ b/review/stand-2/sameid.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// playSameID: a new version starts beside the running process. Bad clients send the ids of requests that are open
+// there. No job that must not run twice may run again.
+func playSameID(s *site) (bool, error) {
+	const (
+		open    = 20 // jobs that run while the new process starts
+		callers = 8  // bad clients
+		kill    = 3700 * time.Millisecond
+	)
+	var err error
+	if s.discovery, err = newDiscovery(s.record, 1); err != nil {
+		return false, err
+	}
+	s.fleet = newFleet(s.record, func(string, *rand.Rand) time.Duration { return 2600 * time.Millisecond })
+	for i := range 6 {
+		w, err := s.fleet.add("s-0badcaf"+string(rune('a'+i)), "sentrum", 1)
+		if err != nil {
+			return false, err
+		}
+		s.discovery.set(w.entry("active"))
+	}
+	former, next, err := s.twoVersions()
+	if err != nil {
+		return false, err
+	}
+	if err := former.start(s.root); err != nil {
+		return false, err
+	}
+	if err := former.ready(20 * time.Second); err != nil {
+		return false, fmt.Errorf("%w; its log ends:\n%s", err, former.logOf(10))
+	}
+	s.clients = newClients(s.record, 10, []string{former.listen})
+	for range open {
+		s.clients.send(0, unsafeClass, tenants[0], 20*time.Second, nil)
+	}
+	sent := func() bool { return len(s.fleet.all()) == open }
+	if err := until(5*time.Second, "all jobs to be sent", sent); err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	bad := &badClients{answers: map[int]int{}}
+	if s.trouble {
+		for range callers {
+			wg.Go(func() { bad.play(former.listen, s.clients.all(), stop) })
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	if err := next.start(s.root); err != nil {
+		return false, err
+	}
+	if err := until(20*time.Second, "the new process to say yes", next.saysYes); err != nil {
+		return false, err
+	}
+	s.record.add("the new process says yes")
+	time.Sleep(500 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	former.signal(syscall.SIGTERM)
+	select {
+	case <-former.ended:
+	case <-time.After(kill):
+		former.end()
+	}
+	s.clients.wait()
+	time.Sleep(3 * time.Second) // what was begun ends
+	runs := map[string]int{}
+	twice := 0
+	for _, x := range s.fleet.all() {
+		if runs[x.id]++; runs[x.id] == 2 {
+			twice++
+			s.record.add("%s began a second time at %s", x.id, x.worker)
+		}
+	}
+	s.record.say("open jobs %d, sent to zone workers a second time %d; answers to bad clients %v", open, twice,
+		bad.answers)
+	return twice == 0 && bad.answers[http.StatusOK] == 0, nil
+}
+
+// badClients send requests with ids of open requests, one on a connection, at full speed.
+type badClients struct {
+	mu      sync.Mutex
+	answers map[int]int // by status; 0: closed without one
+}
+
+func (b *badClients) play(addr string, jobs []job, stop chan struct{}) {
+	for k := rand.IntN(len(jobs)); ; k++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		status := b.once(addr, jobs[k%len(jobs)])
+		b.mu.Lock()
+		b.answers[status]++
+		b.mu.Unlock()
+	}
+}
+
+func (b *badClients) once(addr string, of job) int {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0
+	}
+	defer c.Close() //nolint:errcheck // all is read
+	c.SetDeadline(time.Now().Add(4 * time.Second))
+	_, err = fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
+		"Tenant: %s\r\nRequest-Timeout: 4\r\nContent-Length: 3\r\n\r\nbad", of.class, of.id, of.class, of.tenant)
+	if err != nil {
+		return 0
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
