--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]play{
 	"brokenfile": playBrokenFile,
 	"halfclose":  playHalfClose,
+	"pipeline":   playPipeline,
 	"sameid":     playSameID,
 	"upgrade":    playUpgrade,
 }
