--- a/review/stand-2/sameid.go
+++ b/review/stand-2/sameid.go
@@ -12,14 +12,15 @@
 	"time"
 )
 
+const (
+	openJobs = 20 // that run while a new process starts
+	callers  = 8  // bad clients
+)
+
 // playSameID: a new version starts beside the running process. Bad clients send the ids of requests that are open
 // there. No job that must not run twice may run again.
 func playSameID(s *site) (bool, error) {
-	const (
-		open    = 20 // jobs that run while the new process starts
-		callers = 8  // bad clients
-		kill    = 3700 * time.Millisecond
-	)
+	const rounds = 3 // new versions, one after the other
 	var err error
 	if s.discovery, err = newDiscovery(s.record, 1); err != nil {
 		return false, err
@@ -43,30 +44,58 @@
 		return false, fmt.Errorf("%w; its log ends:\n%s", err, former.logOf(10))
 	}
 	s.clients = newClients(s.record, 10, []string{former.listen})
-	for range open {
+	bad := &badClients{answers: map[int]int{}}
+	for range rounds {
+		if err := s.upgradeBeside(former, next, bad); err != nil {
+			return false, err
+		}
+		changes, _ := s.discovery.seen()
+		former = next
+		if next, err = s.nextVersion(former, whole(0, changes)); err != nil {
+			return false, err
+		}
+	}
+	runs := map[string]int{}
+	twice := 0
+	for _, x := range s.fleet.all() {
+		if runs[x.id]++; runs[x.id] == 2 {
+			twice++
+			s.record.add("%s came to %s as its second zone worker at %.3f s", x.id, x.worker, s.record.since(x.first))
+		}
+	}
+	s.record.say("new versions %d, open jobs %d, sent to zone workers a second time %d; answers to bad clients %v",
+		rounds, rounds*openJobs, twice, bad.answers)
+	return twice == 0 && bad.answers[http.StatusOK] == 0, nil
+}
+
+// upgradeBeside starts a new version beside the running process while jobs are open there, and ends the former one.
+func (s *site) upgradeBeside(former, next *dispatcher, bad *badClients) error {
+	const kill = 3700 * time.Millisecond
+	before := len(s.fleet.all())
+	for range openJobs {
 		s.clients.send(0, unsafeClass, tenants[0], 20*time.Second, nil)
 	}
-	sent := func() bool { return len(s.fleet.all()) == open }
+	sent := func() bool { return len(s.fleet.all()) == before+openJobs }
 	if err := until(5*time.Second, "all jobs to be sent", sent); err != nil {
-		return false, err
+		return err
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	bad := &badClients{answers: map[int]int{}}
 	if s.trouble {
+		all := s.clients.all()
 		for range callers {
-			wg.Go(func() { bad.play(former.listen, s.clients.all(), stop) })
+			wg.Go(func() { bad.play(former.listen, all[len(all)-openJobs:], stop) })
 		}
 	}
 	time.Sleep(200 * time.Millisecond)
 	if err := next.start(s.root); err != nil {
-		return false, err
+		return err
 	}
 	if err := until(20*time.Second, "the new process to say yes", next.saysYes); err != nil {
-		return false, err
+		return err
 	}
 	s.record.add("the new process says yes")
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	close(stop)
 	wg.Wait()
 	former.signal(syscall.SIGTERM)
@@ -77,17 +106,7 @@
 	}
 	s.clients.wait()
 	time.Sleep(3 * time.Second) // what was begun ends
-	runs := map[string]int{}
-	twice := 0
-	for _, x := range s.fleet.all() {
-		if runs[x.id]++; runs[x.id] == 2 {
-			twice++
-			s.record.add("%s began a second time at %s", x.id, x.worker)
-		}
-	}
-	s.record.say("open jobs %d, sent to zone workers a second time %d; answers to bad clients %v", open, twice,
-		bad.answers)
-	return twice == 0 && bad.answers[http.StatusOK] == 0, nil
+	return nil
 }
 
 // badClients send requests with ids of open requests, one on a connection, at full speed.
--- a/review/stand-2/upgrade.go
+++ b/review/stand-2/upgrade.go
@@ -135,16 +135,18 @@
 	if err := s.holdSocket(former); err != nil {
 		return nil, nil, err
 	}
-	if next, err = s.nextVersion(former); err != nil {
+	ports, err := freePorts(1)
+	if err != nil {
 		return nil, nil, err
 	}
-	for _, d := range s.dispatchers {
-		more := map[string]any{"control": d.control, "known": known}
-		if err := s.configure(d, 1, usual(), nil, more); err != nil {
-			return nil, nil, err
-		}
+	former.control = ports[0]
+	former.env = append(former.env, "RELAY_CONTROL="+former.control)
+	more := map[string]any{"control": former.control, "known": known}
+	if err := s.configure(former, 1, usual(), nil, more); err != nil {
+		return nil, nil, err
 	}
-	return former, next, nil
+	next, err = s.nextVersion(former, known)
+	return former, next, err
 }
 
 // holdSocket opens the clients' listening socket, as the platform does, for the processes to inherit.
@@ -159,26 +161,26 @@
 }
 
 // nextVersion prepares a second process of a dispatcher: the same name, addresses, socket and temporary folder, another
-// second address.
-func (s *site) nextVersion(former *dispatcher) (*dispatcher, error) {
-	ports, err := freePorts(2)
+// second address. Its configuration has a list.
+func (s *site) nextVersion(former *dispatcher, known listJSON) (*dispatcher, error) {
+	ports, err := freePorts(1)
 	if err != nil {
 		return nil, err
 	}
-	former.control = ports[0]
 	next := &dispatcher{record: s.record, index: former.index, name: former.name, listen: former.listen,
-		control: ports[1], dir: former.dir + "-next", socket: former.socket}
+		control: ports[0], dir: former.dir + "-next", socket: former.socket}
 	if err := os.MkdirAll(next.dir, 0o700); err != nil {
 		return nil, err
 	}
 	for _, e := range former.env {
-		if strings.HasPrefix(e, "RELAY_CONFIG=") {
-			e = "RELAY_CONFIG=" + filepath.Join(next.dir, "config.json")
+		switch {
+		case strings.HasPrefix(e, "RELAY_CONFIG="):
+			next.env = append(next.env, "RELAY_CONFIG="+filepath.Join(next.dir, "config.json"))
+		case !strings.HasPrefix(e, "RELAY_CONTROL="):
+			next.env = append(next.env, e)
 		}
-		next.env = append(next.env, e)
 	}
-	former.env = append(former.env, "RELAY_CONTROL="+former.control)
 	next.env = append(next.env, "RELAY_CONTROL="+next.control)
 	s.dispatchers = append(s.dispatchers, next)
-	return next, nil
+	return next, s.configure(next, 1, usual(), nil, map[string]any{"control": next.control, "known": known})
 }
