--- a/review/stand-2/sameid.go
+++ b/review/stand-2/sameid.go
@@ -44,7 +44,7 @@
 		return false, fmt.Errorf("%w; its log ends:\n%s", err, former.logOf(10))
 	}
 	s.clients = newClients(s.record, 10, []string{former.listen})
-	bad := &badClients{answers: map[int]int{}}
+	bad := &badClients{record: s.record, answers: map[int]int{}}
 	for range rounds {
 		if err := s.upgradeBeside(former, next, bad); err != nil {
 			return false, err
@@ -111,6 +111,7 @@
 
 // badClients send requests with ids of open requests, one on a connection, at full speed.
 type badClients struct {
+	record  *record
 	mu      sync.Mutex
 	answers map[int]int // by status; 0: closed without one
 }
@@ -122,7 +123,12 @@
 			return
 		default:
 		}
-		status := b.once(addr, jobs[k%len(jobs)])
+		of := jobs[k%len(jobs)]
+		sent := time.Now()
+		status := b.once(addr, of)
+		if status != http.StatusConflict { // one line for each of the thousands of others would say nothing
+			b.record.addAt(sent, "bad client: sent %s, answered %d", of.id, status)
+		}
 		b.mu.Lock()
 		b.answers[status]++
 		b.mu.Unlock()
