--- a/review/stand-2/brokenfile.go
+++ b/review/stand-2/brokenfile.go
@@ -60,7 +60,7 @@
 	}
 	first.setFailing(0)
 	s.clients.wait()
-	return s.neverTwice(), nil
+	return s.neverTwice()
 }
 
 // breakFile writes a configuration in which a tenant has lost its key quota_per_s. Besides, it has the class run as
@@ -76,7 +76,7 @@
 }
 
 // neverTwice reports whether no job was sent again after an attempt that may have run.
-func (s *site) neverTwice() bool {
+func (s *site) neverTwice() (bool, error) {
 	again, failed := 0, 0
 	before := map[string]run{}
 	for _, x := range s.fleet.all() {
@@ -96,5 +96,8 @@
 	}
 	s.record.say("%s", fmt.Sprintf("jobs %d, attempts that failed %d, jobs sent again after one %d, answers %v",
 		len(s.clients.all()), failed, again, status))
-	return again == 0
+	if failed == 0 || status[0] > 0 {
+		return false, fmt.Errorf("no attempt failed, or jobs got no answer: %v", status)
+	}
+	return again == 0, nil
 }
--- a/review/stand-2/discovery.go
+++ b/review/stand-2/discovery.go
@@ -155,7 +155,8 @@
 	}
 	changes, down := d.seen()
 	if down {
-		panic(http.ErrAbortHandler) // the connection ends without an answer
+		reset(w)
+		return
 	}
 	if r.URL.Query().Get("stream") != "1" {
 		_ = json.NewEncoder(w).Encode(whole(dispatcher, changes))
@@ -180,7 +181,8 @@
 		changes, down = d.seen()
 		switch {
 		case down:
-			panic(http.ErrAbortHandler)
+			reset(w)
+			return
 		case len(changes) > sent:
 			write(delta(dispatcher, changes, sent))
 			sent = len(changes)
@@ -193,6 +195,18 @@
 	}
 }
 
+// reset resets the connection of a call.
+func reset(w http.ResponseWriter) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the connection ends all the same
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // delta returns what changed after a version.
 func delta(dispatcher int, changes []change, after int) listJSON {
 	list := listJSON{Seq: len(changes), Hosts: []hostJSON{}}
--- a/review/stand-2/halfclose.go
+++ b/review/stand-2/halfclose.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,28 +17,34 @@
 	id     string
 	status int
 	err    error
+	unsent error
 }
 
+// shutAfter is the time after the last byte at which a client ends its sending: its job runs by then.
+const shutAfter = 150 * time.Millisecond
+
 // ask sends one job on a connection of its own. With shut it then ends its sending, as a client does that has no more
-// to send; it keeps reading until the answer has come or its time is over.
+// to send; it keeps reading until the answer has come or its time is over. unsent is the error with which the request
+// could not be sent.
 func ask(addr, class, id string, patience time.Duration, shut bool) halfOpen {
 	x := halfOpen{id: id}
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
-		x.err = err
+		x.unsent = err
 		return x
 	}
 	defer c.Close() //nolint:errcheck // all is read
 	c.SetDeadline(time.Now().Add(patience + time.Second))
 	body := "order " + id
-	_, x.err = fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
+	_, x.unsent = fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
 		"Tenant: fjordmat\r\nRequest-Timeout: %.3f\r\nContent-Length: %d\r\n\r\n%s",
 		class, id, class, patience.Seconds(), len(body), body)
-	if x.err != nil {
+	if x.unsent != nil {
 		return x
 	}
 	if shut {
-		if x.err = c.(*net.TCPConn).CloseWrite(); x.err != nil {
+		time.Sleep(shutAfter)
+		if x.unsent = c.(*net.TCPConn).CloseWrite(); x.unsent != nil {
 			return x
 		}
 	}
@@ -82,6 +89,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	lost, answers := 0, map[string]int{}
+	var unsent error
 	for k := range jobs {
 		wg.Go(func() {
 			shut := s.trouble && k%5 == 0
@@ -92,6 +100,7 @@
 			s.record.add("client: %s answered %d %v", id, x.status, x.err)
 			mu.Lock()
 			defer mu.Unlock()
+			unsent = errors.Join(unsent, x.unsent)
 			answers[fmt.Sprintf("half-closed %v: %d", shut, x.status)]++
 			if x.status == 0 {
 				lost++
@@ -108,5 +117,5 @@
 	}
 	s.record.say("answers: %v; jobs that the zone workers began: %d of %d", answers, begun, jobs)
 	s.record.say("%d jobs were taken and their connection ended without an answer", lost)
-	return lost == 0, nil
+	return lost == 0, unsent
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -7,8 +7,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -30,9 +33,16 @@
 	"upgrade":    playUpgrade,
 }
 
-func main() { os.Exit(run0()) }
+func main() {
+	if len(os.Args) == 2 && os.Args[1] == "check" { // run.sh asks whether this program can run here
+		return
+	}
+	os.Exit(run0())
+}
 
 func run0() int {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER")
 		return noCase
@@ -55,7 +65,7 @@
 	done := make(chan result, 1)
 	go func() {
 		ok, err := cases[os.Args[1]](s)
-		done <- result{ok, err}
+		done <- result{ok, errors.Join(err, s.unexpectedEnd())}
 	}()
 	select {
 	case r := <-done:
@@ -69,6 +79,9 @@
 		}
 		s.record.say("the rule was broken")
 		return broken
+	case sig := <-interrupts:
+		s.record.say("the case couldn't run: %v", sig)
+		return noCase
 	case <-time.After(maxTime):
 		s.record.say("the case couldn't run: it took more than %v", maxTime)
 		return noCase
--- a/review/stand-2/pipeline.go
+++ b/review/stand-2/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,26 +22,43 @@
 }
 
 // sendAtOnce writes all requests in one go on one connection, and reads their answers in order. It waits for each until
-// its time is over and bound has passed as well; then it gives up the connection.
-func sendAtOnce(addr string, ids []string, patience, bound time.Duration) []*sentAtOnce {
+// its time is over and bound has passed as well; then it gives up the connection. If the dispatcher closes the
+// connection between two requests, the others are sent once more, each on a connection of its own, and their time
+// begins anew. The error says that requests could not be sent.
+func sendAtOnce(addr string, ids []string, patience, bound time.Duration) ([]*sentAtOnce, error) {
 	var list []*sentAtOnce
 	for _, id := range ids {
 		list = append(list, &sentAtOnce{id: id})
 	}
+	answered, closed, err := exchange(addr, list, patience, bound)
+	if err != nil || !closed {
+		return list, err
+	}
+	for _, x := range list[answered:] {
+		if _, _, err := exchange(addr, []*sentAtOnce{x}, patience, bound); err != nil {
+			return list, err
+		}
+	}
+	return list, nil
+}
+
+// exchange sends requests on a new connection and reads the answers. closed means that the dispatcher has closed the
+// connection between two requests, after it had answered some.
+func exchange(addr string, list []*sentAtOnce, patience, bound time.Duration) (answered int, closed bool, err error) {
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
-		return list
+		return 0, false, err
 	}
 	defer c.Close() //nolint:errcheck // all is read
 	var text strings.Builder
-	for _, id := range ids {
-		body := "order " + id
+	for _, x := range list {
+		body := "order " + x.id
 		_, _ = fmt.Fprintf(&text, "POST /sone-oppslag HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\n"+
 			"Request-Class: sone-oppslag\r\nTenant: fjordmat\r\nRequest-Timeout: %.3f\r\nContent-Length: %d\r\n\r\n%s",
-			id, patience.Seconds(), len(body), body)
+			x.id, patience.Seconds(), len(body), body)
 	}
 	if _, err := io.WriteString(c, text.String()); err != nil {
-		return list
+		return 0, false, err
 	}
 	now := time.Now()
 	for _, x := range list {
@@ -48,22 +66,27 @@
 	}
 	c.SetReadDeadline(now.Add(patience + bound))
 	r := bufio.NewReader(c)
-	for _, x := range list {
+	for n, x := range list {
+		if _, err := r.Peek(1); err != nil { // the time is over, or the dispatcher has closed the connection
+			var late net.Error
+			timeIsOver := errors.As(err, &late) && late.Timeout()
+			return n, n > 0 && !timeIsOver, nil
+		}
 		answer, err := http.ReadResponse(r, &http.Request{Method: http.MethodPost})
 		if err != nil {
-			return list
+			return n, false, nil
 		}
 		_, err = io.ReadAll(answer.Body)
 		_ = answer.Body.Close()
 		if err != nil {
-			return list
+			return n, false, nil
 		}
 		x.status, x.ended = answer.StatusCode, time.Now()
 		if answer.Close {
-			return list
+			return n + 1, true, nil
 		}
 	}
-	return list
+	return len(list), false, nil
 }
 
 // playPipeline: some clients send eight requests at once on a connection, each with the same time.
@@ -73,7 +96,9 @@
 		rounds   = 12
 		atOnce   = 8
 		patience = time.Second
-		bound    = 500 * time.Millisecond // an answer up to so much later only earns nothing
+		// An answer up to 0.5 s later only earns nothing; each limit is 50 ms longer; a dispatcher may be held up for
+		// 0.15 s.
+		bound = 700 * time.Millisecond
 	)
 	var err error
 	if s.discovery, err = newDiscovery(s.record, n); err != nil {
@@ -98,6 +123,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var all []*sentAtOnce
+	var unsent error
 	for round := range rounds {
 		var ids []string
 		for k := range atOnce {
@@ -113,16 +139,17 @@
 		for _, group := range groups {
 			s.record.add("client: sends %d at once to n%d: %v", len(group), round%n, group)
 			wg.Go(func() {
-				list := sendAtOnce(s.dispatchers[round%n].listen, group, patience, bound)
+				list, err := sendAtOnce(s.dispatchers[round%n].listen, group, patience, bound)
 				mu.Lock()
 				defer mu.Unlock()
+				unsent = errors.Join(unsent, err)
 				all = append(all, list...)
 			})
 		}
 		time.Sleep(time.Second)
 	}
 	wg.Wait()
-	return s.judgeAtOnce(all, patience, bound), nil
+	return s.judgeAtOnce(all, patience, bound), unsent
 }
 
 // judgeAtOnce reports whether each request has an answer within its time and bound.
--- a/review/stand-2/process.go
+++ b/review/stand-2/process.go
@@ -10,7 +10,9 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -26,7 +28,41 @@
 	env     []string
 	socket  *os.File // the clients' listening socket, if the platform holds it
 	cmd     *exec.Cmd
-	ended   chan struct{}
+	ended   chan struct{} // closed when the process has ended
+
+	mu        sync.Mutex
+	wanted    bool // the case has ended the process, or told it to end
+	abandoned bool // the case is over: no process is started any more
+}
+
+// starter starts all processes on one thread that lives as long as the program: the system ends a process with
+// Pdeathsig together with the thread that started it.
+var starter = func() chan func() {
+	calls := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+}()
+
+// startOnThread starts a command on the starter's thread.
+func startOnThread(cmd *exec.Cmd) error {
+	result := make(chan error)
+	starter <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+// environment is that of this program without what would reach a dispatcher as its configuration.
+func environment() (list []string) {
+	for _, e := range os.Environ() {
+		if !strings.HasPrefix(e, "RELAY_") && !strings.HasPrefix(e, "BELLSTREAM_") && !strings.HasPrefix(e, "TMPDIR=") {
+			list = append(list, e)
+		}
+	}
+	return list
 }
 
 // runCommand reads the command that starts a dispatcher from the deploy file.
@@ -76,14 +112,19 @@
 	defer log.Close() //nolint:errcheck // the process has its own descriptor
 	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir = root
-	cmd.Env = append(os.Environ(), d.env...)
+	cmd.Env = append(environment(), d.env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if d.socket != nil {
 		cmd.ExtraFiles = []*os.File{d.socket}
 		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=3")
 	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.abandoned {
+		return fmt.Errorf("%s: the case is over", d.name)
+	}
+	if err := startOnThread(cmd); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
@@ -97,11 +138,41 @@
 	return nil
 }
 
+// stop tells the process to end, as at a planned restart, and kills it if it has not ended after some time.
+func (d *dispatcher) stop(kill time.Duration) {
+	d.mu.Lock()
+	d.wanted = true
+	d.mu.Unlock()
+	d.signal(syscall.SIGTERM)
+	select {
+	case <-d.ended:
+	case <-time.After(kill):
+		d.signal(syscall.SIGKILL)
+		<-d.ended
+	}
+}
+
 func (d *dispatcher) signal(s syscall.Signal) {
-	d.record.add("%s: %v", d.name, s)
+	d.record.add("%s: process %d: %v", d.name, d.cmd.Process.Pid, s)
 	_ = d.cmd.Process.Signal(s)
 }
 
+// alive returns an error if the process has ended although the case has not ended it.
+func (d *dispatcher) alive() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil || d.wanted {
+		return nil
+	}
+	select {
+	case <-d.ended:
+		return fmt.Errorf("process %d of %s ended by itself (%v); its log ends:\n%s", d.cmd.Process.Pid, d.name,
+			d.cmd.ProcessState, d.logOf(5))
+	default:
+		return nil
+	}
+}
+
 // saysYes asks for the status at the process's second address.
 func (d *dispatcher) saysYes() bool {
 	c, err := net.DialTimeout("tcp", d.control, time.Second)
@@ -115,18 +186,22 @@
 	return strings.HasPrefix(string(answer), "ok")
 }
 
-// end kills the process, if it still runs, and waits for it.
+// end kills the process, if it still runs, and waits for it. It can't be started again.
 func (d *dispatcher) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.abandoned = true
 	if d.cmd == nil {
 		return
 	}
+	d.wanted = true
 	_ = syscall.Kill(-d.cmd.Process.Pid, syscall.SIGKILL)
 	<-d.ended
 }
 
-// ready waits until /healthz answers 200.
+// ready waits until /healthz answers 200 while the process lives: another one's answer must not count.
 func (d *dispatcher) ready(within time.Duration) error {
-	return until(within, d.name+" to be ready", func() bool {
+	return until(within, d.name+" to be ready", d.alive, func() bool {
 		code, _ := get("http://" + d.listen + "/healthz")
 		return code == http.StatusOK
 	})
@@ -147,11 +222,14 @@
 	return answer.StatusCode, body
 }
 
-// until waits for a condition.
-func until(within time.Duration, what string, done func() bool) error {
+// until waits for a condition while check returns no error.
+func until(within time.Duration, what string, check func() error, done func() bool) error {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if err := check(); err != nil {
+			return err
+		}
 		if done() {
-			return nil
+			return check()
 		}
 	}
 	return fmt.Errorf("waited %v in vain for %s", within, what)
--- a/review/stand-2/sameid.go
+++ b/review/stand-2/sameid.go
@@ -8,13 +8,14 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
 	openJobs = 20 // that run while a new process starts
 	callers  = 8  // bad clients
+
+	stopWithin = 6 * time.Second // from the yes to SIGTERM
 )
 
 // playSameID: a new version starts beside the running process. Bad clients send the ids of requests that are open
@@ -76,7 +77,7 @@
 		s.clients.send(0, unsafeClass, tenants[0], 20*time.Second, nil)
 	}
 	sent := func() bool { return len(s.fleet.all()) == before+openJobs }
-	if err := until(5*time.Second, "all jobs to be sent", sent); err != nil {
+	if err := until(5*time.Second, "all jobs to be sent", s.unexpectedEnd, sent); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
@@ -91,19 +92,18 @@
 	if err := next.start(s.root); err != nil {
 		return err
 	}
-	if err := until(20*time.Second, "the new process to say yes", next.saysYes); err != nil {
+	if err := until(20*time.Second, "the new process to say yes", s.unexpectedEnd, next.saysYes); err != nil {
 		return err
 	}
+	yes := time.Now()
 	s.record.add("the new process says yes")
 	time.Sleep(300 * time.Millisecond)
 	close(stop)
 	wg.Wait()
-	former.signal(syscall.SIGTERM)
-	select {
-	case <-former.ended:
-	case <-time.After(kill):
-		former.end()
+	if time.Since(yes) > stopWithin {
+		return fmt.Errorf("SIGTERM would come %v after the yes", time.Since(yes))
 	}
+	former.stop(kill)
 	s.clients.wait()
 	time.Sleep(3 * time.Second) // what was begun ends
 	return nil
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -6,19 +6,23 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"time"
 )
 
 // site is a small deployment: a few dispatchers, zone workers, discovery and clients.
 type site struct {
-	root        string
-	dir         string
-	record      *record
-	trouble     bool
-	discovery   *discovery
-	fleet       *fleet
+	root      string
+	dir       string
+	record    *record
+	trouble   bool
+	discovery *discovery
+	fleet     *fleet
+	clients   *clients
+
+	mu          sync.Mutex // for dispatchers, which close reads at any time
 	dispatchers []*dispatcher
-	clients     *clients
 }
 
 // newSite makes the site's folder and record, without processes.
@@ -35,14 +39,35 @@
 	return &site{root: root, dir: dir, record: rec, trouble: trouble}, nil
 }
 
+// add adds a dispatcher's process, which close will end.
+func (s *site) add(d *dispatcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatchers = append(s.dispatchers, d)
+}
+
+func (s *site) processes() []*dispatcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.dispatchers)
+}
+
+// unexpectedEnd returns an error if a process has ended by itself: what was seen then says nothing about the rule.
+func (s *site) unexpectedEnd() error {
+	for _, d := range s.processes() {
+		if err := d.alive(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // close ends all processes.
 func (s *site) close() {
-	for _, d := range s.dispatchers {
+	for _, d := range s.processes() {
 		d.end()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(s.dir)
-	}
+	_ = os.RemoveAll(s.dir)
 	s.record.close()
 }
 
@@ -115,7 +140,7 @@
 	}
 	d.env = []string{"RELAY_NAME=" + d.name, "RELAY_LISTEN=" + d.listen, "RELAY_DISCOVERY=" + s.discovery.addrs[i],
 		"RELAY_CONFIG=" + filepath.Join(d.dir, "config.json"), "TMPDIR=" + filepath.Join(d.dir, "tmp")}
-	s.dispatchers = append(s.dispatchers, d)
+	s.add(d)
 	return s.configure(d, n, usual(), nil, nil)
 }
 
--- a/review/stand-2/upgrade.go
+++ b/review/stand-2/upgrade.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -58,18 +57,13 @@
 	if err := next.start(s.root); err != nil {
 		return false, err
 	}
-	if err := until(20*time.Second, "the new process to say yes", next.saysYes); err != nil {
+	if err := until(20*time.Second, "the new process to say yes", s.unexpectedEnd, next.saysYes); err != nil {
 		return false, err
 	}
 	ready := time.Now()
 	s.record.add("the new process says yes")
 	time.Sleep(2 * time.Second)
-	former.signal(syscall.SIGTERM)
-	select {
-	case <-former.ended:
-	case <-time.After(kill):
-		former.end()
-	}
+	former.stop(kill)
 	time.Sleep(time.Until(back))
 	s.discovery.setDown(false)
 	time.Sleep(time.Second)
@@ -79,12 +73,12 @@
 	if !wasTold {
 		return false, fmt.Errorf("the dispatcher was never told of version %d", seq)
 	}
-	return s.judgeDrain(drained, told, ready, grace+hold), nil
+	return s.judgeDrain(drained, told, ready, grace+hold)
 }
 
 // judgeDrain reports whether nothing new came to a worker later than bound after the dispatcher was told that it
 // drains, nor, from the new process on, later than bound after that one said yes.
-func (s *site) judgeDrain(w *worker, told, ready time.Time, bound time.Duration) bool {
+func (s *site) judgeDrain(w *worker, told, ready time.Time, bound time.Duration) (bool, error) {
 	before, excused, after := 0, 0, 0
 	for _, x := range s.fleet.all() {
 		if x.worker != w.name {
@@ -107,7 +101,10 @@
 	}
 	s.record.say("told at %.3f s, yes at %.3f s; jobs to %s: %d before, %d in the times allowed, %d after; answers %v",
 		s.record.since(told), s.record.since(ready), w.name, before, excused, after, status)
-	return after == 0
+	if before == 0 || status[0] > 0 {
+		return false, fmt.Errorf("no job came to %s before the drain, or jobs got no answer: %v", w.name, status)
+	}
+	return after == 0, nil
 }
 
 // steady sends jobs until stop is closed.
@@ -181,6 +178,6 @@
 		}
 	}
 	next.env = append(next.env, "RELAY_CONTROL="+next.control)
-	s.dispatchers = append(s.dispatchers, next)
+	s.add(next)
 	return next, s.configure(next, 1, usual(), nil, map[string]any{"control": next.control, "known": known})
 }
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -14,6 +14,13 @@
 // quickly is the time after which a request fails at a zone worker that fails quickly.
 const quickly = 20 * time.Millisecond
 
+// keepAlive is how long a connection may stand idle, and progressPeriod is how often a job tells its progress, both as
+// the settings say.
+const (
+	keepAlive      = 15 * time.Second
+	progressPeriod = time.Second
+)
+
 // workerSlots is the number of slots of each zone worker.
 const workerSlots = 5
 
@@ -40,10 +47,11 @@
 	slots int
 	dials []string
 
-	mu      sync.Mutex
-	running int
-	queue   []chan struct{}
-	failing float64 // share of the requests that fail quickly, after they have started
+	mu       sync.Mutex
+	running  int
+	queue    []chan struct{}
+	lastSpan time.Duration // of the last job that ended
+	failing  float64       // share of the requests that fail quickly, after they have started
 }
 
 // fleet is all zone workers.
@@ -70,7 +78,8 @@
 		}
 		w.dials = append(w.dials, l.Addr().String())
 		serve := func(rw http.ResponseWriter, r *http.Request) { w.serve(i, rw, r) }
-		go func() { _ = http.Serve(l, http.HandlerFunc(serve)) }()
+		server := &http.Server{Handler: http.HandlerFunc(serve), IdleTimeout: keepAlive}
+		go func() { _ = server.Serve(l) }()
 	}
 	f.workers = append(f.workers, w)
 	return w, nil
@@ -89,7 +98,8 @@
 	case r.Method == http.MethodGet && r.URL.Path == "/load":
 		w.mu.Lock()
 		free := max(0, w.slots-w.running)
-		report := map[string]int{"avg_ms": 100, "waiting": len(w.queue), "x0": free, "x1": free}
+		recent := int(w.lastSpan.Milliseconds())
+		report := map[string]int{"avg_ms": recent, "waiting": len(w.queue), "x0": free, "x1": free}
 		w.mu.Unlock()
 		_ = json.NewEncoder(rw).Encode(report)
 		return
@@ -122,11 +132,18 @@
 		line(rw, x, `"state":"failed"`)
 		return
 	}
-	select {
-	case <-time.After(span):
-	case <-r.Context().Done(): // the dispatcher gave it up; what runs goes on, without an answer
-		time.Sleep(time.Until(x.started.Add(span)))
+	for begun := time.Now(); ; {
+		left := span - time.Since(begun)
+		if left <= progressPeriod {
+			time.Sleep(left)
+			break
+		}
+		time.Sleep(progressPeriod)
+		line(rw, x, fmt.Sprintf(`"state":"running","share":%.2f`, time.Since(begun).Seconds()/span.Seconds()))
 	}
+	w.mu.Lock()
+	w.lastSpan = span
+	w.mu.Unlock()
 	w.note(x, func() { x.ended, x.served = time.Now(), true })
 	line(rw, x, `"state":"done","result":"`+x.id+` by `+w.name+`"`)
 }
