Reload rejects a file in which any value is missing, at any depth, or unknown

After SIGHUP with a file that lacked one tenant's quota_per_s, jobs of a class that must not run twice ran again at another worker, as the same file made the class safe.

Cause: Reload compared paths of keys, but went into objects and classes only. What was missing in an entry of another array, or null in a class, was read as 0 or "". A dedup_scope that does not exist was never checked.

Change: outline holds the structure of the whole file, which a new file must have: the keys of objects, of all elements of an array of objects and of elements by their name, lengths of arrays, no null element. Scopes, modes and kinds must exist, tenants have unique names, elements of arrays have a type. The golden test of the keys has the two keys of parties more.

--- a/internal/settings/golden_test.go
+++ b/internal/settings/golden_test.go
@@ -78,7 +78,7 @@
 				"settings.family_info.class_kind", "settings.family_info.class_stretch", "settings.family_info.report_x0",
 				"settings.family_info.report_x1", "settings.family_info.tells_start", "settings.kinds", "settings.lanes",
 				"settings.lanes[].aim", "settings.lanes[].hard_limit", "settings.lanes[].name", "settings.lanes[].semantics",
-				"settings.lanes[].value", "settings.me", "settings.membership_mode", "settings.parties", "settings.reporting",
+				"settings.lanes[].value", "settings.me", "settings.membership_mode", "settings.parties", "settings.parties[].name", "settings.parties[].quota_per_s", "settings.reporting",
 				"settings.reporting.fields", "settings.reporting.how", "settings.round", "settings.rules",
 				"settings.rules.ask_every", "settings.rules.cold_from", "settings.rules.drain_grace",
 				"settings.rules.dropped_stay_open", "settings.rules.fall", "settings.rules.fall_multiple",
@@ -136,7 +136,7 @@
 			t.Fatal(err)
 		}
 		var keys []string
-		for k := range got.presentKeys {
+		for k := range got.outline.keys {
 			keys = append(keys, k)
 		}
 		slices.Sort(keys)
@@ -149,7 +149,7 @@
 		if !reflect.DeepEqual(*got.Settings, *c.want.Settings) {
 			t.Errorf("%s: settings\n%+v, want\n%+v", c.path, *got.Settings, *c.want.Settings)
 		}
-		got.Settings, c.want.Settings, got.presentKeys = nil, nil, nil
+		got.Settings, c.want.Settings, got.outline = nil, nil, nil
 		if !reflect.DeepEqual(*got, c.want) {
 			t.Errorf("%s: %+v, want %+v", c.path, *got, c.want)
 		}
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -26,7 +26,7 @@
 	CachedEndpoints []byte // the cached endpoint list, in discovery's JSON format
 	Settings        *Settings
 
-	presentKeys map[string]bool // see collectKeys
+	outline *outline // of the file
 }
 
 // Load reads an instance's configuration file. Errors name the file; an empty path is [ErrNoFile].
@@ -52,7 +52,7 @@
 	}
 	r := &reader{root: gjson.ParseBytes(raw)}
 	i := &Instance{
-		presentKeys:     collectKeys(r.root),
+		outline:         newOutline(r.root),
 		Name:            r.text("name"),
 		Listen:          r.text("listen"),
 		Discovery:       r.text("discovery"),
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -87,10 +87,10 @@
 
 func (r *reader) workerFamily(prefix string) (f WorkerFamily) {
 	r.each(prefix+"class_kind", func(k *reader) {
-		f.ClassKinds = append(f.ClassKinds, int(k.root.Int()))
+		f.ClassKinds = append(f.ClassKinds, int(k.element(gjson.Number).Int()))
 	})
 	r.each(prefix+"class_stretch", func(k *reader) {
-		f.ClassStretches = append(f.ClassStretches, k.root.Float())
+		f.ClassStretches = append(f.ClassStretches, k.element(gjson.Number).Float())
 	})
 	f.ReportX0 = r.text(prefix + "report_x0")
 	f.ReportX1 = r.text(prefix + "report_x1")
@@ -144,7 +144,10 @@
 }
 
 func (r *reader) get(path string, want ...gjson.Type) gjson.Result {
-	v := r.root.Get(path)
+	return r.checkType(path, r.root.Get(path), want...)
+}
+
+func (r *reader) checkType(path string, v gjson.Result, want ...gjson.Type) gjson.Result {
 	if !v.Exists() || v.Type == gjson.Null {
 		return gjson.Result{}
 	}
@@ -155,13 +158,18 @@
 	return gjson.Result{}
 }
 
+// element returns the value itself, which is an element of an array. The caller names its place.
+func (r *reader) element(want ...gjson.Type) gjson.Result {
+	return r.checkType("value", r.root, want...)
+}
+
 func (r *reader) text(path string) string { return r.get(path, gjson.String).String() }
 func (r *reader) num(path string) float64 { return r.get(path, gjson.Number).Float() }
 func (r *reader) int(path string) int     { return int(r.get(path, gjson.Number).Int()) }
 func (r *reader) flag(path string) bool   { return r.get(path, gjson.True, gjson.False).Bool() }
 
 func (r *reader) texts(path string) (texts []string) {
-	r.each(path, func(element *reader) { texts = append(texts, element.root.String()) })
+	r.each(path, func(element *reader) { texts = append(texts, element.element(gjson.String).String()) })
 	return texts
 }
 
--- a/internal/settings/reload.go
+++ b/internal/settings/reload.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-
-	"github.com/tidwall/gjson"
 
 	"example.org/bellstream/balance"
 )
@@ -20,67 +17,30 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := next.checkComplete(i.presentKeys); err != nil {
+	if err := next.checkComplete(i); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return next, nil
 }
 
-// collectKeys returns the paths of the keys of a configuration, without those that are used only at start. A key
-// of the classes is included if all classes have it, unless only classes with idempotency keys use it.
-func collectKeys(root gjson.Result) map[string]bool {
-	keys := map[string]bool{}
-	addKeys(keys, "", root)
-	classes := root.Get("settings.lanes").Array()
-	if len(classes) == 0 {
-		return keys
-	}
-	classes[0].ForEach(func(name, _ gjson.Result) bool {
-		key := name.String()
-		lacksKey := func(class gjson.Result) bool { return !class.Get(key).Exists() }
-		if !isOptionalClassKey(key) && !slices.ContainsFunc(classes, lacksKey) {
-			keys["settings.lanes[]."+key] = true
-		}
-		return true
-	})
-	return keys
-}
-
-// isOptionalClassKey reports whether only classes with idempotency keys use a key.
-func isOptionalClassKey(key string) bool { return key == "dedup_scope" || key == "repeat_window" }
-
-// isStartKey reports whether a key is used only at start.
-func isStartKey(path string) bool { return path == "known" || path == "seed" }
-
-func addKeys(keys map[string]bool, prefix string, object gjson.Result) {
-	object.ForEach(func(name, value gjson.Result) bool {
-		path := prefix + name.String()
-		if isStartKey(path) || value.Type == gjson.Null {
-			return true
-		}
-		keys[path] = true
-		if value.IsObject() {
-			addKeys(keys, path+".", value)
-		}
-		return true
-	})
-}
-
-// checkComplete returns an error if one of the present keys is missing, or if a value is invalid.
-func (i *Instance) checkComplete(present map[string]bool) error {
-	var missing []string
-	for path := range present {
-		if !i.presentKeys[path] {
-			missing = append(missing, path)
-		}
-	}
-	if len(missing) > 0 {
-		return &KeyError{slices.Min(missing), "missing"}
+// checkComplete returns an error if a value is missing that the instance in force has, or if a value is invalid.
+func (i *Instance) checkComplete(inForce *Instance) error {
+	if err := i.outline.checkAgainst(inForce.outline); err != nil {
+		return err
 	}
 	s := i.Settings
 	if err := checkClasses(s.Classes); err != nil {
 		return err
 	}
+	if err := checkTenants(s.Tenants); err != nil {
+		return err
+	}
+	if err := s.checkModes(); err != nil {
+		return err
+	}
+	if err := s.checkClassKinds(); err != nil {
+		return err
+	}
 	if s.Capabilities.MaxAttempts < 1 {
 		return &KeyError{"settings.caps.max_attempts", "not a positive whole number"}
 	}
@@ -108,6 +68,47 @@
 	return nil
 }
 
+func checkTenants(tenants []Tenant) error {
+	seen := map[string]bool{}
+	for n, tenant := range tenants {
+		path := fmt.Sprintf("settings.parties[%d].name", n)
+		if tenant.Name == "" {
+			return &KeyError{path, "missing"}
+		}
+		if seen[tenant.Name] {
+			return &KeyError{path, fmt.Sprintf("there are two tenants %q", tenant.Name)}
+		}
+		seen[tenant.Name] = true
+	}
+	return nil
+}
+
+// checkModes returns an error for a mode that does not exist. An empty one is missing, and was missing before.
+func (s *Settings) checkModes() error {
+	switch s.EndpointMode {
+	case "", EndpointsPushed, EndpointsOnRequest:
+	default:
+		return &KeyError{"settings.membership_mode", fmt.Sprintf("unknown %q", s.EndpointMode)}
+	}
+	switch s.LoadReports.Mode {
+	case "", ReportsSilent, ReportsInOutcomes, ReportsInHealthChecks:
+	default:
+		return &KeyError{"settings.reporting.how", fmt.Sprintf("unknown %q", s.LoadReports.Mode)}
+	}
+	return nil
+}
+
+// checkClassKinds returns an error if a class needs a kind of worker that is not in the list of kinds.
+func (s *Settings) checkClassKinds() error {
+	for n, kind := range s.WorkerFamily.ClassKinds {
+		if kind >= len(s.WorkerKinds) {
+			path := fmt.Sprintf("%s[%d]", classKindsPath, n)
+			return &KeyError{path, fmt.Sprintf("there is no kind %d", kind)}
+		}
+	}
+	return nil
+}
+
 func (c *Class) check(path string) error {
 	if c.Name == "" {
 		return &KeyError{path + "name", "missing"}
@@ -115,9 +116,17 @@
 	if !(c.ClientTimeout > 0) {
 		return &KeyError{path + "hard_limit", "not a positive number"}
 	}
+	switch balance.DedupScope(c.DedupScope) {
+	case "", balance.ScopeAll, balance.ScopeZone, balance.ScopeCell:
+	default:
+		return &KeyError{path + "dedup_scope", fmt.Sprintf("unknown %q", c.DedupScope)}
+	}
 	switch balance.Idempotence(c.Idempotence) {
 	case balance.Idempotent, balance.NonIdempotent:
 	case balance.IdempotentWithKey:
+		if c.DedupScope == "" {
+			return &KeyError{path + "dedup_scope", "missing, which a keyed class needs"}
+		}
 		if !(c.DedupWindow > 0) {
 			return &KeyError{path + "repeat_window", "not a positive number, which a keyed class needs"}
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,8 +52,11 @@
 	FleetRules         FleetRules
 }
 
-// EndpointsOnRequest is the EndpointMode in which discovery sends the endpoint list only on request.
-const EndpointsOnRequest = "on_request"
+// The values of EndpointMode.
+const (
+	EndpointsPushed    = "pushed"     // discovery sends changes of the endpoint list unasked
+	EndpointsOnRequest = "on_request" // discovery sends the endpoint list only on request
+)
 
 // WorkerFamily is what all workers have in common.
 type WorkerFamily struct {
@@ -70,8 +73,12 @@
 	Fields []string
 }
 
-// ReportsSilent is the Mode of LoadReports in which workers send no reports.
-const ReportsSilent = "silent"
+// The values of the Mode of LoadReports.
+const (
+	ReportsSilent         = "silent"    // workers send no reports
+	ReportsInOutcomes     = "piggyback" // reports are part of outcomes and of health checks
+	ReportsInHealthChecks = "pull"      // reports are part of health checks alone
+)
 
 // Capabilities is what the platform supports. Times are in seconds.
 type Capabilities struct {
