Processes of an upgrade publish each id before they accept it, and read the others' ids

A job of a class that must not run twice ran at the old process while a bad client sent its id; the new process accepted the id and sent it to a second worker.

Cause: ids were published once another process had been noticed (every 50 ms), and read every 5 ms. The new process led 15 ms after its start, with nothing to wait for, and nobody looked at the moment of accepting.

Change: each process appends an id to its file before it accepts the request, also while it is alone, and then reads what others have appended; the same again, marked by a tab, before the first attempt of a job that must not run twice. Who publishes before reading can't miss another process that does the same, so no answer of the other is waited for: it may be held up, stopped or dead. The file of an ended process is taken over by one that runs or starts. A process alone drops old ids from its file. Beside an earlier build, which publishes late, the new one waits for its file, at most 0.5 s. TestIDsTakenByOtherProcessesAreRejected no longer waits for exchanges between the steps: it is stricter.

--- /dev/null
+++ b/cmd/bellstream/sameid_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/bellstream/internal/lab/wiretest"
+)
+
+// manyWorkers returns a configuration with workers that all have the target's address.
+func manyWorkers(discovery, target string, workers int) string {
+	var hosts []string
+	for n := range workers {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s%d","dial":%q,"site":"z","health":"active"}`, n, target))
+	}
+	conf := fmt.Sprintf(sampleConfig, discovery, target)
+	from, to := strings.Index(conf, `{"host":"s"`), strings.Index(conf, `]}`)
+	return conf[:from] + strings.Join(hosts, ",") + conf[to:]
+}
+
+func jobWithID(id string) string { return strings.Replace(job, "Request-Id: r", "Request-Id: "+id, 1) }
+
+// An id that a process has accepted is rejected by each process that starts beside it: of running jobs, of waiting
+// ones and of those whose clients have left, also if the former process does not run meanwhile, and by the third one.
+func TestIDsAreKnownToLaterProcesses(t *testing.T) {
+	const workers, jobs = 6, 24
+	target, discovery := wiretest.NewTarget(t), wiretest.NewDiscovery(t)
+	s := newSite(t, manyWorkers(discovery.Addr, target.Addr, workers))
+	addr := s.listener.Addr().String()
+	old := s.start()
+	old.waitUntilReady(t)
+	runs := map[string]int{}
+	var clients []*wiretest.Client
+	for n := range jobs {
+		c := dial(t, addr)
+		defer c.Close()
+		io.WriteString(c, jobWithID(fmt.Sprint("j", n)))
+		clients = append(clients, c)
+		if n < workers {
+			runs[wiretest.Get(t, target.Calls, "a job").Req.Header.Get("Request-Id")]++
+		}
+	}
+	kept := dial(t, addr)
+	defer kept.Close()
+	if got := checkHealth(t, kept); got != 200 {
+		t.Fatalf("health check: got status %d, want 200", got)
+	}
+	for _, c := range clients[:workers/2] {
+		c.Close()
+	}
+	wiretest.Until(t, "the waiting jobs to be accepted", func() bool {
+		c := dial(t, addr)
+		defer c.Close()
+		io.WriteString(c, jobWithID(fmt.Sprint("j", jobs-1)))
+		got, _ := c.Status(t)
+		return got == 409
+	})
+	checkRejected := func(what string) {
+		t.Helper()
+		for n := range jobs {
+			c := dial(t, addr)
+			c.SetDeadline(time.Now().Add(2 * time.Second))
+			io.WriteString(c, jobWithID(fmt.Sprint("j", n)))
+			if got, _ := c.Status(t); got != 409 {
+				t.Errorf("%s: id j%d got status %d, want 409", what, n, got)
+			}
+			c.Close()
+		}
+	}
+	old.Process.Signal(syscall.SIGSTOP)
+	began := time.Now()
+	next := s.start()
+	next.waitUntilReady(t)
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("the second process was ready after %v beside a stopped one, want at most 5 s", took)
+	}
+	checkRejected("second process, first one stopped")
+	io.WriteString(dial(t, addr), jobWithID("new"))
+	old.Process.Signal(syscall.SIGCONT)
+	io.WriteString(kept, jobWithID("new"))
+	if got, _ := kept.Status(t); got != 409 {
+		t.Errorf("an id accepted by the second process got status %d from the first one, want 409", got)
+	}
+	third := s.start()
+	third.waitUntilReady(t)
+	next.waitForLog(t, "yielding")
+	checkRejected("third process")
+	old.Process.Kill()
+	next.Process.Kill()
+	old.Wait()
+	next.Wait()
+	checkRejected("third process, the others ended")
+	last := s.start()
+	last.waitUntilReady(t)
+	third.waitForLog(t, "yielding")
+	third.stop(t)
+	checkRejected("fourth process")
+	last.stop(t)
+	for len(target.Calls) > 0 {
+		runs[(<-target.Calls).Req.Header.Get("Request-Id")]++
+	}
+	for id, n := range runs {
+		if n > 1 {
+			t.Errorf("job %s was sent %d times", id, n)
+		}
+	}
+}
+
+// A new process knows the ids that an earlier build beside it has accepted, which that build publishes only once it
+// has noticed the new process. BELLSTREAM_EARLIER names its executable.
+func TestIDsOfEarlierBuildAreKnown(t *testing.T) {
+	earlier := os.Getenv("BELLSTREAM_EARLIER")
+	if earlier == "" {
+		t.Skip("BELLSTREAM_EARLIER names no executable of an earlier build")
+	}
+	target, discovery := wiretest.NewTarget(t), wiretest.NewDiscovery(t)
+	s := newSite(t, manyWorkers(discovery.Addr, target.Addr, 1))
+	addr := s.listener.Addr().String()
+	old := s.startProgram(earlier)
+	old.waitUntilReady(t)
+	defer dial(t, addr).Close()
+	c := dial(t, addr)
+	defer c.Close()
+	io.WriteString(c, jobWithID("j"))
+	wiretest.Get(t, target.Calls, "the job")
+	next := s.start()
+	next.waitUntilReady(t)
+	for range 200 {
+		again := dial(t, addr)
+		again.SetDeadline(time.Now().Add(2 * time.Second))
+		io.WriteString(again, jobWithID("j"))
+		if got, _ := again.Status(t); got != 409 {
+			t.Fatalf("the id of a running job got status %d, want 409", got)
+		}
+		again.Close()
+	}
+	old.waitForLog(t, "yielding")
+	next.stop(t)
+}
--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -24,6 +24,11 @@
 		return
 	}
 	if number == 0 {
+		if !d.acceptSend(r) {
+			d.answerSentElsewhere(r)
+			d.addEvent(balance.AttemptDone{ID: a.ID, Attempt: number, Outcome: balance.Blocked, JobFinished: true})
+			return
+		}
 		d.recordFirstAttempt(r)
 	}
 	if d.Usage != nil {
--- a/internal/dispatcher/commands.go
+++ b/internal/dispatcher/commands.go
@@ -57,17 +57,6 @@
 	d.Notify()
 }
 
-// StreamRequestIDs passes the ids of all recent requests and of each later one to sink, which must not block.
-// A nil sink ends the stream. Another process of this dispatcher rejects requests with these ids.
-func (d *Dispatcher) StreamRequestIDs(sink func(ids []string)) {
-	if sink == nil {
-		d.idSink.Store(nil)
-	} else {
-		d.idSink.Store(&sink)
-	}
-	d.Notify()
-}
-
 // KnowsWorker reports whether a worker is known here, and whether discovery has delivered an endpoint list yet.
 // While listed is false, a worker that is not known may still exist.
 func (d *Dispatcher) KnowsWorker(worker string) (known, listed bool) {
@@ -87,8 +76,8 @@
 	}
 }
 
-// Notify makes the loop read the operators' commands and the agreed configuration. It never blocks: commands
-// are in force before the loop reads them, and one wakeup covers all of them.
+// Notify makes the loop read the operators' commands, the ids of other processes and the agreed configuration. It
+// never blocks: commands are in force before the loop reads them, and one wakeup covers all of them.
 func (d *Dispatcher) Notify() {
 	select {
 	case d.wakeups <- struct{}{}:
@@ -101,7 +90,7 @@
 	now := d.clock()
 	d.updatePause(now)
 	d.updateCordons()
-	d.updateIDSink()
+	d.readSharedIDs("")
 	d.updateYield(now)
 }
 
@@ -119,17 +108,6 @@
 	}
 }
 
-func (d *Dispatcher) updateIDSink() {
-	sink := d.idSink.Load()
-	if sink == d.activeIDSink {
-		return
-	}
-	d.activeIDSink = sink
-	if sink != nil {
-		(*sink)(d.recentIDs.all())
-	}
-}
-
 func (d *Dispatcher) updateYield(now float64) {
 	switch yielding := d.Phases.Yielding(); {
 	case yielding && !d.yielding:
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,6 +8,8 @@
 //	messages.go         messages that are posted to the loop
 //	requests.go         requests from arrival to answer
 //	attempts.go         attempts at workers
+//	recentids.go        ids of earlier requests
+//	sharedids.go        ids shared with the other processes of the dispatcher
 //	watch.go            the watch of the endpoint list
 //	deferred.go         jobs with dependencies or a start time
 //	shutdown.go         stop, drain and exit
@@ -109,7 +111,6 @@
 	operatorState   atomic.Pointer[handoff.OperatorState]
 	knownWorkers    atomic.Pointer[map[string]bool] // nil unless operators may name workers
 	endpointsListed atomic.Bool                     // discovery has delivered a list
-	idSink          atomic.Pointer[func([]string)]  // receives the ids of requests; nil: none
 
 	// Used by the loop only.
 	downstream    Downstream
@@ -117,7 +118,7 @@
 	endpoints     *endpoints.Table
 	requests      map[string]*request
 	recentIDs     *recentIDs
-	activeIDSink  *func([]string) // the value of idSink that the loop uses
+	sharedIDs     SharedIDs // nil: no other process is possible
 	pendingEvents []balance.Event
 	lastStepAt    float64
 	stepCount     uint64
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -42,7 +42,6 @@
 	deferredLimits   struct{ limits deferred.Limits }
 	maxWaitsChanged  struct{ maxWaits map[string]float64 }
 	statsRequest     struct{ reply chan Stats }
-	seenIDs          struct{ ids []string }
 	settingsChanged  struct{ settings *settings.Settings }
 	stopRequested    struct{ at float64 }
 	discoveryChanged struct{ discovery string }
@@ -83,13 +82,6 @@
 // UpdateQuotas passes reports of other instances about tenants to the scheduler.
 func (d *Dispatcher) UpdateQuotas(updates []balance.QuotaUpdate) { d.post(quotaUpdates{updates}) }
 
-// AddSeenIDs adds ids of requests that another process has accepted, so that repeats of them are rejected here.
-func (d *Dispatcher) AddSeenIDs(ids []string) {
-	if len(ids) > 0 {
-		d.post(seenIDs{ids})
-	}
-}
-
 // ApplySettings replaces all settings. The caller must have checked the new ones.
 func (d *Dispatcher) ApplySettings(s *settings.Settings) { d.post(settingsChanged{s}) }
 
@@ -132,10 +124,6 @@
 		for _, update := range m.updates {
 			d.addEvent(update)
 		}
-	case seenIDs:
-		for _, id := range m.ids {
-			d.recentIDs.add(id, d.clock())
-		}
 	case statsRequest:
 		m.reply <- d.stats()
 	case deferredLimits:
--- a/internal/dispatcher/reload.go
+++ b/internal/dispatcher/reload.go
@@ -43,6 +43,7 @@
 	defineClasses(d.platformClasses, d.Settings.Config().Classes)
 	d.maxDrain = min(longest, maxDrainSeconds) + drainGraceSeconds
 	d.recentIDs.retention = max(d.recentIDs.retention, longest) // never shorter: earlier requests may be in flight
+	d.retainIDs()
 	d.reportFields = d.Settings.Config().ReportFields
 	d.knownTenants = map[string]bool{}
 	for _, tenant := range d.Settings.Tenants {
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/deferred"
@@ -98,16 +97,10 @@
 		d.reject(in)
 		return
 	}
-	if d.requests[in.ID] != nil || !d.recentIDs.add(in.ID, d.clock()) {
-		in.Answer(downstream.Answer{
-			Status: http.StatusConflict,
-			Body:   []byte("this Request-Id was used before\n"),
-		})
+	if !d.acceptID(in.ID) {
+		d.rejectUsedID(in)
 		return
 	}
-	if d.activeIDSink != nil {
-		(*d.activeIDSink)([]string{strings.Clone(in.ID)})
-	}
 	r := d.newRequest(in)
 	if !d.admitDeferred(r) {
 		return
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -30,3 +30,7 @@
 	}
 	return leader == 0 || leader == id
 }
+
+// SentPrefix stands before the ID of a job that is sent to a worker, in what processes publish. IDs don't begin
+// with it.
+const SentPrefix = "\t"
--- a/internal/handoff/statedir/processes.go
+++ b/internal/handoff/statedir/processes.go
@@ -1,6 +1,8 @@
 package statedir
 
 import (
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -47,17 +49,26 @@
 	return os.Rename(f.Name(), m.statePath(m.id))
 }
 
+// parseName returns the process ID in the name of a file.
+func parseName(name, prefix string) (id uint64, ok bool) {
+	suffix, ok := strings.CutPrefix(name, prefix)
+	if !ok {
+		return 0, false
+	}
+	id, err := strconv.ParseUint(suffix, 10, 63)
+	return id, err == nil
+}
+
 // processIDs returns the IDs of the processes that have a state file.
-func (m *Membership) processIDs() map[uint64]bool {
+func (m *Membership) processIDs() map[uint64]bool { return m.idsOfFiles(processPrefix) }
+
+// idsOfFiles returns the IDs of the processes that have a file with a prefix.
+func (m *Membership) idsOfFiles(prefix string) map[uint64]bool {
 	ids := map[uint64]bool{}
 	entries, err := os.ReadDir(m.path)
 	m.logError("read the folder", err)
 	for _, entry := range entries {
-		suffix, isProcess := strings.CutPrefix(entry.Name(), processPrefix)
-		if !isProcess {
-			continue
-		}
-		if id, err := strconv.ParseUint(suffix, 10, 63); err == nil {
+		if id, ok := parseName(entry.Name(), prefix); ok {
 			ids[id] = true
 		}
 	}
@@ -78,8 +89,21 @@
 	return processes
 }
 
+// adoptJobIDs takes over the job IDs of processes that have left: they have removed their state file.
+func (m *Membership) adoptJobIDs() {
+	for id := range m.idsOfFiles(jobIDsPrefix) {
+		if id == m.id {
+			continue
+		}
+		if _, err := os.Stat(m.statePath(id)); errors.Is(err, fs.ErrNotExist) {
+			m.jobIDs.adopt(id)
+		}
+	}
+}
+
 // readProcess returns the state of another process. A running process holds the
-// lock of its state file. If the process has ended, its files are removed.
+// lock of its state file. If the process has ended, its state file is removed and its job IDs
+// are taken over.
 func (m *Membership) readProcess(id uint64) (state handoff.ProcessState, running bool) {
 	f, err := os.Open(m.statePath(id))
 	if err != nil {
@@ -95,7 +119,7 @@
 		return m.readProcess(id) // the process has published a new state since the file was opened
 	}
 	os.Remove(m.statePath(id))
-	os.Remove(m.jobIDPath(id))
+	m.jobIDs.adopt(id)
 	return "", false
 }
 
--- a/internal/handoff/statedir/statedir.go
+++ b/internal/handoff/statedir/statedir.go
@@ -29,29 +29,23 @@
 
 const (
 	maxOperatorStateBytes = 1 << 20
-	// modTimeResolution is the time after a change in which the folder is read again
-	// even if its modification time, which is coarse, has not changed.
-	modTimeResolution = time.Second
 )
 
 // Membership is the membership of this process in the folder. Its methods may be
 // called from any goroutine.
 type Membership struct {
-	path string
-	id   uint64
-	logf func(format string, args ...any)
-
-	mu             sync.Mutex
-	stateFile      *os.File // locked while the process is running; nil after Leave
-	state          handoff.ProcessState
-	operatorState  *handoff.OperatorState
-	processes      []handoff.Process // running processes, including this one
-	jobIDFile      *os.File          // nil until IDs are published
-	jobIDOffsets   map[uint64]int64  // bytes read of other processes' files, by process ID
-	lastModTime    time.Time         // modification time of the folder when it was last checked
-	lastChangeSeen time.Time         // when a change of the folder was last noticed
-	lockTimedOut   time.Time         // when the lock last timed out
-	lastLogged     string            // the last logged error, so that it is not repeated
+	path   string
+	id     uint64
+	errors *errorLog
+	jobIDs *jobIDLog
+
+	mu            sync.Mutex
+	stateFile     *os.File // locked while the process is running; nil after Leave
+	state         handoff.ProcessState
+	operatorState *handoff.OperatorState
+	processes     []handoff.Process // running processes, including this one
+	folder        folderWatch
+	lockTimedOut  time.Time // when the lock last timed out
 }
 
 // Path returns the path of a dispatcher's folder in a folder for temporary files,
@@ -75,10 +69,10 @@
 	}
 	m := &Membership{
 		path:          path,
-		logf:          logf,
+		errors:        &errorLog{logf: logf},
 		state:         handoff.Starting,
 		operatorState: &handoff.OperatorState{},
-		jobIDOffsets:  map[uint64]int64{},
+		folder:        folderWatch{path: path},
 	}
 	unlock, err := m.lock()
 	if err != nil {
@@ -86,6 +80,7 @@
 	}
 	defer unlock()
 	m.id = m.newID()
+	m.jobIDs = newJobIDLog(path, m.id, m.errors)
 	if err := m.writeStateFile(); err != nil {
 		return nil, err
 	}
@@ -140,7 +135,7 @@
 	unlock, err := m.lock()
 	if err == nil {
 		defer unlock()
-		m.lastChangeSeen = time.Now() // forces a read
+		m.folder.forceRead()
 		m.refresh()
 	}
 	m.logError("lock the folder", err)
@@ -165,7 +160,7 @@
 	}
 	m.state = state
 	m.logError("publish state "+string(state), m.writeStateFile())
-	m.lastChangeSeen = time.Now()
+	m.folder.forceRead()
 	m.refresh()
 }
 
@@ -177,10 +172,7 @@
 		return
 	}
 	os.Remove(m.statePath(m.id))
-	if m.jobIDFile != nil {
-		m.jobIDFile.Close()
-		os.Remove(m.jobIDPath(m.id))
-	}
+	m.jobIDs.close(len(m.readProcesses()) > 1)
 	m.stateFile.Close()
 	m.stateFile = nil
 }
@@ -192,6 +184,7 @@
 		return
 	}
 	m.processes = m.readProcesses()
+	m.adoptJobIDs()
 	state, err := m.readOperatorState()
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
@@ -203,16 +196,7 @@
 }
 
 func (m *Membership) isUnchanged() bool {
-	info, err := os.Stat(m.path)
-	if err != nil {
-		return false
-	}
-	now := time.Now()
-	if !info.ModTime().Equal(m.lastModTime) {
-		m.lastModTime = info.ModTime()
-		m.lastChangeSeen = now
-	}
-	return now.Sub(m.lastChangeSeen) > modTimeResolution && len(m.processes) <= 1
+	return !m.folder.mayHaveChanged() && len(m.processes) <= 1
 }
 
 func (m *Membership) readOperatorState() (*handoff.OperatorState, error) {
@@ -245,15 +229,4 @@
 	return err
 }
 
-// logError logs an error, unless it is nil or the same as the last logged one.
-func (m *Membership) logError(action string, err error) {
-	if err == nil {
-		return
-	}
-	text := fmt.Sprintf("handoff: could not %s: %v", action, err)
-	if text == m.lastLogged {
-		return
-	}
-	m.lastLogged = text
-	m.logf("%s", text)
-}
+func (m *Membership) logError(action string, err error) { m.errors.log(action, err) }
--- a/internal/service/process_group.go
+++ b/internal/service/process_group.go
@@ -20,6 +20,10 @@
 	pollSlow = 50 * time.Millisecond
 )
 
+// maxIDWait bounds the time for which a process that can serve waits for the ids of another one: pollSlow, and the
+// time for which a process may be held up.
+const maxIDWait = 500 * time.Millisecond
+
 // processGroup applies operators' commands to the loop and shares them with the other processes of the same
 // dispatcher. Without a state directory it consists of this process only.
 type processGroup struct {
@@ -31,8 +35,7 @@
 	state *handoff.OperatorState // used only without a state directory
 
 	otherProcesses int
-	pendingIDsMu   sync.Mutex
-	pendingIDs     []string // ids of requests accepted here, to be published
+	idsAwaitedTo   time.Time // when this process stops waiting for ids of others; zero until it can serve
 	done           chan struct{}
 	wg             sync.WaitGroup
 }
@@ -59,6 +62,7 @@
 		return g
 	}
 	g.member = member
+	loop.ShareIDs(sharedIDs{member})
 	member.Refresh(g.adopt) // cordons apply before the first request
 	g.wg.Go(g.poll)
 	return g
@@ -83,13 +87,14 @@
 func (g *processGroup) exchange() time.Duration {
 	phase := g.instance.phases.Now()
 	g.publishPhase(phase)
-	g.member.PublishJobIDs(g.drainPendingIDs())
-	g.loop.AddSeenIDs(g.member.ReadJobIDs())
 	otherProcesses := 0
 	g.member.Refresh(func(view statedir.View) {
 		g.adopt(view)
 		otherProcesses = view.OtherProcesses
 	})
+	if otherProcesses > 0 {
+		g.loop.Notify() // it reads the ids of the others
+	}
 	if phase == dispatcher.Starting || otherProcesses > 0 {
 		return pollFast
 	}
@@ -100,11 +105,21 @@
 	switch {
 	case phase >= dispatcher.Retiring:
 		g.member.SetState(handoff.Draining)
-	case phase > dispatcher.Starting:
+	case phase > dispatcher.Starting && g.knowsOthersIDs():
 		g.member.SetState(handoff.Ready)
 	}
 }
 
+// knowsOthersIDs reports whether the other processes have published the ids of their requests, or have had the time
+// to. Processes publish each id before they use it. Only builds that begin once they notice another process, and
+// processes without any ids, are waited for.
+func (g *processGroup) knowsOthersIDs() bool {
+	if g.idsAwaitedTo.IsZero() {
+		g.idsAwaitedTo = time.Now().Add(maxIDWait)
+	}
+	return g.member.OthersPublishJobIDs() || time.Now().After(g.idsAwaitedTo)
+}
+
 // adopt applies the shared state. Accepting is paused first: when the loop logs that another process leads, this
 // process no longer accepts connections.
 func (g *processGroup) adopt(view statedir.View) {
@@ -114,29 +129,12 @@
 		return
 	}
 	if g.otherProcesses == 0 {
-		g.loop.StreamRequestIDs(g.recordIDs)
-	} else if view.OtherProcesses == 0 {
-		g.loop.StreamRequestIDs(nil)
+		g.member.AnnounceJobIDs()
 	}
 	g.otherProcesses = view.OtherProcesses
 	g.instance.setProcesses(view.OtherProcesses + 1)
 }
 
-// recordIDs keeps request ids until the next exchange publishes them.
-func (g *processGroup) recordIDs(ids []string) {
-	g.pendingIDsMu.Lock()
-	defer g.pendingIDsMu.Unlock()
-	g.pendingIDs = append(g.pendingIDs, ids...)
-}
-
-func (g *processGroup) drainPendingIDs() []string {
-	g.pendingIDsMu.Lock()
-	defer g.pendingIDsMu.Unlock()
-	ids := g.pendingIDs
-	g.pendingIDs = nil
-	return ids
-}
-
 // stateChange computes the next operator state.
 type stateChange func(*handoff.OperatorState) (*handoff.OperatorState, error)
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -15,7 +15,6 @@
 	"example.org/bellstream/internal/endpoints"
 	"example.org/bellstream/internal/handoff"
 	"example.org/bellstream/internal/handoff/statedir"
-	"example.org/bellstream/internal/lab/wiretest"
 	"example.org/bellstream/internal/settings"
 	"example.org/bellstream/internal/upstream"
 )
@@ -56,6 +55,7 @@
 			t.Fatal(err)
 		}
 		o := &processGroup{loop: d, instance: run, member: m, state: &handoff.OperatorState{}}
+		d.ShareIDs(sharedIDs{m})
 		m.Refresh(o.adopt)
 		go d.Run(run.server)
 		t.Cleanup(func() { m.Leave(); d.Stop() })
@@ -75,36 +75,19 @@
 			return 0
 		}
 	}
-	// publishIDs waits until the loop has streamed at least n ids, and publishes them.
-	publishIDs := func(o *processGroup, n int) {
-		t.Helper()
-		wiretest.Until(t, "ids to be streamed", func() bool {
-			o.pendingIDsMu.Lock()
-			defer o.pendingIDsMu.Unlock()
-			return len(o.pendingIDs) >= n
-		})
-		o.exchange()
-	}
 	a := join()
 	if got := arrive(a, "early"); got == 409 {
 		t.Fatal("the first request with an id was rejected")
 	}
 	b := join()
-	a.exchange()
-	publishIDs(a, 1)
-	b.exchange()
 	if got := arrive(b, "early"); got != 409 {
 		t.Errorf("an id accepted before the second process started got status %d, want 409", got)
 	}
 	arrive(a, "late")
-	publishIDs(a, 1)
-	b.exchange()
 	if got := arrive(b, "late"); got != 409 {
 		t.Errorf("an id accepted while both processes run got status %d, want 409", got)
 	}
 	arrive(b, "back")
-	publishIDs(b, 1)
-	a.exchange()
 	if got := arrive(a, "back"); got != 409 {
 		t.Errorf("an id accepted by the new process got status %d from the old one, want 409", got)
 	}
