Ids of sent jobs are kept for the longest deadline, however many others were used since

Cause: recentIDs kept two maps of 8,192 ids and dropped the older one when the other was full. Ids that were never sent to a worker displaced one that had been.

Change: ids that were sent are kept apart, for at least the longest deadline, and nothing displaces them. Ids are kept as hashes with a secret seed.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -87,6 +87,7 @@
 	Upstream        Upstream
 	Phases          *Phases
 	AcceptsCommands bool          // operators may name workers
+	MaxSentIDs      int           // remembered of requests that were sent within the longest deadline; 0: 1,048,576
 	Usage           UsageRecorder // nil: not recorded
 	// NewScheduler wraps this dispatcher's Balancer in another scheduler. It is given the clock of the steps,
 	// which any goroutine may call. If NewScheduler is nil, the Balancer decides.
@@ -158,6 +159,9 @@
 	d.timers = timerwheel.New[any](timerTick(o.Settings.FleetRules.AnswerGrace), d.clock())
 	d.operatorState.Store(&handoff.OperatorState{})
 	d.recentIDs = newRecentIDs(0, d.clock())
+	if o.MaxSentIDs > 0 {
+		d.recentIDs.sent.limit = o.MaxSentIDs
+	}
 	d.deriveLimits()
 	if err := d.loadCachedEndpoints(); err != nil {
 		return nil, err
--- a/internal/dispatcher/recentids.go
+++ b/internal/dispatcher/recentids.go
@@ -2,11 +2,11 @@
 
 import "hash/maphash"
 
-// maxRecentIDs limits the ids in each of the two maps of recentIDs. The two together take about 1 MB.
-const maxRecentIDs = 8192
+// maxRecentIDs limits the ids in each of the two maps of recentIDs. The two together take about 2 MB.
+const maxRecentIDs = 32768
 
-// maxSentIDs limits the ids in each of the two sets of sentIDs.
-const maxSentIDs = 1 << 16
+// defaultMaxSentIDs is the default of Options.MaxSentIDs.
+const defaultMaxSentIDs = 1 << 20
 
 // idSet is a set of the hashes of ids.
 type idSet map[uint64]struct{}
@@ -19,7 +19,8 @@
 // recentIDs remembers the ids of requests for at least the retention time, unless the current map is full earlier.
 // Then, or after the retention time, the current map replaces the previous one and an empty one becomes current.
 // Ids must not be reused, so a request that repeats the id of an answered one is a mistake: if it were forwarded,
-// the job could run a second time. Ids that were sent to a worker are in sets of their own, too.
+// the job could run a second time. So ids that were sent to a worker are kept in sets of their own, which are not
+// replaced early: others, however many, don't make them forgotten.
 type recentIDs struct {
 	seed      maphash.Seed
 	retention float64 // seconds
@@ -31,6 +32,7 @@
 
 // sentIDs are the ids of requests that were sent to a worker.
 type sentIDs struct {
+	limit     int // of current
 	current   idSet
 	previous  idSet
 	rotatedAt float64 // when the current set was created, in seconds
@@ -43,7 +45,7 @@
 		current:   idSet{},
 		previous:  idSet{},
 		rotatedAt: now,
-		sent:      sentIDs{current: idSet{}, previous: idSet{}, rotatedAt: now},
+		sent:      sentIDs{limit: defaultMaxSentIDs, current: idSet{}, previous: idSet{}, rotatedAt: now},
 	}
 }
 
@@ -55,26 +57,35 @@
 		r.rotatedAt = now
 	}
 	hash := maphash.String(r.seed, id)
-	if r.current.contains(hash) || r.previous.contains(hash) {
+	if r.current.contains(hash) || r.previous.contains(hash) || r.sent.contains(hash) {
 		return false
 	}
 	r.current[hash] = struct{}{}
 	return true
 }
 
-// addSent remembers an id that is sent to a worker and reports whether it is new among those.
-func (r *recentIDs) addSent(id string, now float64) bool {
+// addSent remembers an id that is sent to a worker and reports whether it is new among those. That of a job that may
+// run repeatedly is not kept apart from the others while half of the limit is in use.
+func (r *recentIDs) addSent(id string, atMostOnce bool, now float64) bool {
 	r.rotateSent(now)
 	hash := maphash.String(r.seed, id)
 	if r.sent.contains(hash) {
 		return false
 	}
-	r.sent.current[hash] = struct{}{}
+	if atMostOnce || len(r.sent.current) < r.sent.limit/2 {
+		r.sent.current[hash] = struct{}{}
+	}
 	return true
 }
 
+// full reports whether no further id may be sent that must not run twice.
+func (r *recentIDs) full(now float64) bool {
+	r.rotateSent(now)
+	return len(r.sent.current) >= r.sent.limit
+}
+
 func (r *recentIDs) rotateSent(now float64) {
-	if now > r.sent.rotatedAt+r.retention || len(r.sent.current) >= maxSentIDs {
+	if now > r.sent.rotatedAt+r.retention {
 		r.sent.previous = r.sent.current
 		r.sent.current = idSet{}
 		r.sent.rotatedAt = now
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -93,7 +93,7 @@
 // handleArrival admits a request. A request whose id is in use or was used recently is rejected, so that the
 // first request with that id is not disturbed and does not run again.
 func (d *Dispatcher) handleArrival(in *downstream.Request) {
-	if d.rejectsNew() {
+	if d.rejectsNew() || d.rejectsAtMostOnce(in) {
 		d.reject(in)
 		return
 	}
--- a/internal/dispatcher/sharedids.go
+++ b/internal/dispatcher/sharedids.go
@@ -47,7 +47,7 @@
 // acceptSend reports whether no other process has sent a request. It is called before the first attempt.
 func (d *Dispatcher) acceptSend(r *request) bool {
 	id := r.inbound.ID
-	if !d.recentIDs.addSent(id, d.clock()) {
+	if !d.recentIDs.addSent(id, r.atMostOnce(), d.clock()) {
 		return false
 	}
 	if d.sharedIDs == nil || !r.atMostOnce() {
@@ -68,7 +68,7 @@
 	d.sharedIDs.ReadNew(func(other string, isSent bool) {
 		if isSent {
 			sent = sent || other == id
-			d.recentIDs.addSent(other, now)
+			d.recentIDs.addSent(other, true, now)
 			return
 		}
 		accepted = accepted || other == id
@@ -90,3 +90,14 @@
 	d.addEvent(balance.ClientDisconnected{ID: r.inbound.ID})
 	d.answer(r, usedIDAnswer())
 }
+
+// rejectsAtMostOnce reports whether a new request is rejected because so many ids have to be remembered that its own
+// could not be.
+func (d *Dispatcher) rejectsAtMostOnce(in *downstream.Request) bool {
+	if !d.recentIDs.full(d.clock()) || d.classDefinition(in).Idempotence == balance.Idempotent {
+		return false
+	}
+	d.logLimited("ids", "rejecting jobs that must not run twice: %d ids were sent to workers within %v s",
+		d.recentIDs.sent.limit, d.recentIDs.retention)
+	return true
+}
--- a/internal/dispatcher/sharedids_test.go
+++ b/internal/dispatcher/sharedids_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -90,3 +91,48 @@
 		}
 	}
 }
+
+// The id of a job that was sent to a worker is rejected within the retention time, although its client has left and
+// however many other ids were used since: the job must not run a second time.
+func TestIDsOfSentJobsAreKept(t *testing.T) {
+	for _, class := range []string{"unsafe", "keyed", "safe"} {
+		r := newRigWith(t, settingsJSON, 1)
+		r.startJob("a", class)
+		left := r.jobs[0]
+		left.req.MarkDisconnected()
+		left.disconnected = true
+		r.handle(clientDisconnected{left.req})
+		r.advance(time.Second)
+		now := r.clock()
+		for n := range 5 * maxRecentIDs {
+			r.recentIDs.add(fmt.Sprint("other-", n), now)
+		}
+		if again := r.arrive("a", class, time.Second); !slices.Equal(again.answers, []int{409}) {
+			t.Errorf("%s: the id of a job that may still run got answers %v, want 409", class, again.answers)
+		}
+	}
+}
+
+// While as many ids were sent as can be remembered, jobs that must not run twice are rejected unsent, others are
+// served, and no id is forgotten.
+func TestLimitOfSentIDs(t *testing.T) {
+	r := newRigWith(t, settingsJSON, 1)
+	r.recentIDs.sent.limit = 4
+	now := r.clock()
+	for n := range 4 {
+		r.recentIDs.addSent(fmt.Sprint("sent-", n), true, now)
+	}
+	if j := r.arrive("u", "unsafe", time.Second); !slices.Equal(j.answers, []int{503}) {
+		t.Errorf("a job beyond the limit got answers %v, want 503", j.answers)
+	}
+	if j := r.startJob("s", "safe"); len(j.answers) > 0 {
+		t.Errorf("a safe job beyond the limit got answers %v", j.answers)
+	}
+	if j := r.arrive("sent-0", "safe", time.Second); !slices.Equal(j.answers, []int{409}) {
+		t.Errorf("an id that was sent got answers %v, want 409", j.answers)
+	}
+	r.advance(4 * time.Second) // longer than the retention
+	if j := r.arrive("v", "unsafe", time.Second); len(j.answers) > 0 {
+		t.Errorf("a job after the retention time got answers %v", j.answers)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -147,6 +147,7 @@
 		Discovery:       conf.Discovery,
 		Watch:           endpoints.Watch,
 		AcceptsCommands: conf.Control != "",
+		MaxSentIDs:      conf.MemoryMB * sentIDsPerMB,
 	}
 }
 
