A job's timeout counts up to its class's deadline when the age of other jobs is derived

Cause: the longest timeout of a class so far is taken for that of a first request, without a bound. The shard router keeps the same figure.

Change: the figure is bounded by the class's deadline, in both; a longer timeout of a job itself makes it no older.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -31,12 +31,12 @@
 func (b *Balancer) newJob(e JobArrived) *job {
 	c := b.classOf(e.Class, e.Accepted, e.Timeout)
 	t := b.tenantFor(e.Tenant)
-	c.longestTimeout = max(c.longestTimeout, e.Timeout)
+	c.longestTimeout = max(c.longestTimeout, min(e.Timeout, c.Deadline))
 	j := &job{
 		id:               e.ID,
 		class:            c,
 		tenant:           t,
-		firstRequestedAt: b.now - (c.longestTimeout - e.Timeout),
+		firstRequestedAt: b.now - max(0, c.longestTimeout-e.Timeout),
 		arrivedAt:        b.now - e.Age,
 		deadline:         b.now + e.Timeout,
 		slots:            max(e.Slots, 1),
--- a/balance/job.go
+++ b/balance/job.go
@@ -6,7 +6,7 @@
 type class struct {
 	Class
 	runTime        mean    // seconds from start to end, over all workers
-	longestTimeout float64 // longest timeout of a job so far, taken for that of a first request
+	longestTimeout float64 // longest timeout of a job so far, at most Deadline, taken for that of a first request
 	promisedSize   float64 // total size of its queued jobs that have a promised wait
 }
 
--- a/internal/cluster/shardrouter/balancing.go
+++ b/internal/cluster/shardrouter/balancing.go
@@ -241,7 +241,7 @@
 		QueueOrder:      record.Order,
 	}
 	if _, known := s.classes[record.Class]; known && !record.StartsNow {
-		job.FirstRequestAge += s.longestTimeout[record.Class] - (record.Timeout + record.Age)
+		job.FirstRequestAge += max(0, s.longestTimeout[record.Class]-(record.Timeout+record.Age))
 	}
 	return job
 }
--- a/internal/cluster/shardrouter/router.go
+++ b/internal/cluster/shardrouter/router.go
@@ -184,9 +184,14 @@
 // router needs it to compute the age of a job's first request in the same way as
 // the balancer.
 func (s *settings) recordTimeout(class string, timeout float64) {
-	if _, known := s.classes[class]; known {
-		s.longestTimeout[class] = max(s.longestTimeout[class], timeout)
+	definition, known := s.classes[class]
+	if !known {
+		return
+	}
+	if definition.Deadline > 0 {
+		timeout = min(timeout, definition.Deadline)
 	}
+	s.longestTimeout[class] = max(s.longestTimeout[class], timeout)
 }
 
 // retryAfter limits a Retry-After to the longest one that clients honour.
