Tenants without jobs that are not configured are forgotten once there are many

Cause: the decision module kept a tenant, some 2 kB and its name, for each name that a client invented, and visited all of them in each step. The owner of a shard kept the names too.

Change: from 256 tenants on that are not configured, those without jobs are removed, and again when their number has doubled; an owner of a shard does the same from 1,024 on. Tags of fewer are kept, so decisions there are the same.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -25,7 +25,9 @@
 	formerClasses map[string][]*class // other definitions with which jobs were accepted, by name
 	tenants       []*tenant           // in the order of the configuration, then tenants that it does not name
 	tenantsByName map[string]*tenant
-	passBuffer    []*tenant // reused by passOrder
+	// unknownAfterSweep is the number of unconfigured tenants after the last call of forgetIdleTenants.
+	unknownAfterSweep int
+	passBuffer        []*tenant // reused by passOrder
 
 	jobTable
 	workerTable
--- a/balance/tags.go
+++ b/balance/tags.go
@@ -1,6 +1,9 @@
 package balance
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Constants of reservation-based fair queueing.
 const (
@@ -10,6 +13,9 @@
 	quotaOvershoot  = 1.5  // multiple of its quota above which a tenant counts as surplus
 	minAllotment    = 1e-6 // fraction of a reservation, above 0 so that tags stay finite
 	maxTokenWait    = 600.0
+
+	// minUnknownTenants is the number of unconfigured tenants up to which those without jobs keep their tags.
+	minUnknownTenants = 256
 )
 
 // tenant is a tenant with its tags and its queue.
@@ -50,9 +56,33 @@
 	if t := b.tenantsByName[name]; t != nil {
 		return t
 	}
+	b.forgetIdleTenants()
 	return b.addTenant(Tenant{Name: name, Weight: defaultTenantWeight})
 }
 
+// forgetIdleTenants removes the tenants without jobs that are not configured, once there are many: clients choose the
+// names, and each step visits all tenants.
+func (b *Balancer) forgetIdleTenants() {
+	if len(b.tenants)-len(b.config.Tenants) < max(minUnknownTenants, 2*b.unknownAfterSweep) {
+		return
+	}
+	kept := map[*tenant]bool{}
+	for _, t := range b.config.Tenants {
+		kept[b.tenantsByName[t.Name]] = true
+	}
+	for _, j := range b.jobs {
+		kept[j.tenant] = true
+	}
+	b.tenants = slices.DeleteFunc(b.tenants, func(t *tenant) bool {
+		if !kept[t] {
+			delete(b.tenantsByName, t.name)
+		}
+		return !kept[t]
+	})
+	b.unknownAfterSweep = len(b.tenants) - len(b.config.Tenants)
+	clear(b.passBuffer[:cap(b.passBuffer)])
+}
+
 // enqueue adds a job to its tenant's queue in the order of arrival. If the tenant was idle, its local tag
 // becomes at least now, and its global tag at least now minus the idle credit.
 func (b *Balancer) enqueue(j *job) {
--- a/internal/cluster/shardrouter/state.go
+++ b/internal/cluster/shardrouter/state.go
@@ -58,17 +58,20 @@
 
 // ownedState is the state of a shard that this instance owns.
 type ownedState struct {
-	balancing       bool                      // the balancer schedules the shard's jobs
-	tenantsToExport int                       // tenants that the balancer still has to export
-	tags            map[string]savedTags      // by tenant: the tags that startBalancing restores
-	tagsEpoch       uint64                    // the epoch in which exported tags are valid
-	tenants         map[string]bool           // the shard's tenants
-	jobViews        map[shard.JobKey]*jobView // the balancer's view of the shard's jobs
-	updates         []ownerEvent              // queued for the balancer
-	resendAt        float64                   // when pending grants are sent again
-	resendDelay     float64                   // delay before the next resend of pending grants
-	oldestGrant     uint64                    // number of the oldest pending grant at the last check; 0: none
-	nextExpiryAt    float64                   // the next search for jobs whose origin does not respond
+	balancing       bool                 // the balancer schedules the shard's jobs
+	tenantsToExport int                  // tenants that the balancer still has to export
+	tags            map[string]savedTags // by tenant: the tags that startBalancing restores
+	tagsEpoch       uint64               // the epoch in which exported tags are valid
+	tenants         map[string]bool      // the shard's tenants
+
+	tenantsAfterSweep int // number of tenants after the last call of forgetIdleTenants
+
+	jobViews     map[shard.JobKey]*jobView // the balancer's view of the shard's jobs
+	updates      []ownerEvent              // queued for the balancer
+	resendAt     float64                   // when pending grants are sent again
+	resendDelay  float64                   // delay before the next resend of pending grants
+	oldestGrant  uint64                    // number of the oldest pending grant at the last check; 0: none
+	nextExpiryAt float64                   // the next search for jobs whose origin does not respond
 }
 
 // exportState is a transfer to another instance.
--- a/internal/cluster/shardrouter/updates.go
+++ b/internal/cluster/shardrouter/updates.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 
 	"example.org/bellstream/balance"
 	"example.org/bellstream/internal/cluster/shard"
@@ -244,13 +245,37 @@
 	}
 }
 
+// minShardTenants is the number of tenants of a shard up to which those without jobs are kept.
+const minShardTenants = 1024
+
 // ensureTenant adds a tenant to the shard and gives the balancer the tenant's
 // complete reservation. It reports whether the shard had the tenant before.
 func (sh *shardState) ensureTenant(tenant string) bool {
 	if sh.owned.tenants[tenant] {
 		return true
 	}
+	sh.forgetIdleTenants()
 	sh.owned.tenants[tenant] = true
 	sh.router.addEvent(balance.QuotaUpdate{Tenant: tenant, Allotment: 1})
 	return false
 }
+
+// forgetIdleTenants removes the tenants of the shard that have no job and are not configured, once there are many:
+// clients choose the names.
+func (sh *shardState) forgetIdleTenants() {
+	owned := &sh.owned
+	if len(owned.tenants) < max(minShardTenants, 2*owned.tenantsAfterSweep) {
+		return
+	}
+	kept := map[string]bool{}
+	for _, tenant := range sh.router.settings.tenants {
+		kept[tenant] = true
+	}
+	for _, view := range owned.jobViews {
+		kept[view.tenant] = true
+	}
+	isIdle := func(tenant string) bool { return !kept[tenant] }
+	maps.DeleteFunc(owned.tenants, func(tenant string, _ bool) bool { return isIdle(tenant) })
+	maps.DeleteFunc(owned.tags, func(tenant string, _ savedTags) bool { return isIdle(tenant) })
+	owned.tenantsAfterSweep = len(owned.tenants)
+}
