The memory of requests and connections is limited by memory_mb

Cause: nothing bounded the sum. A parsed head with many fields takes over 200 kB and was kept until the answer; bodies of 64 KiB were read as they came; connections followed from descriptors alone; at 32 MB the collector's limit left less than the program's file needs.

Change: at most 128 header fields (431); the header is dropped before the body is read; requests over 2 KiB reserve memory, wait for it up to 1 s (then 503) and take that of slow senders; connections are limited by memory; the collector's limit leaves room for the file.

--- a/internal/downstream/answer.go
+++ b/internal/downstream/answer.go
@@ -43,9 +43,10 @@
 
 // rejection is the error for a request that is answered without being passed to the handler.
 type rejection struct {
-	status int
-	reason string
-	allow  string
+	status     int
+	reason     string
+	retryAfter float64 // seconds; 0: not given
+	allow      string
 }
 
 // Error implements error; the reason is also the body of the answer.
@@ -63,5 +64,12 @@
 	return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body over 64 KiB"}
 }
 
+// errNoRequestMemory rejects a request that does not fit into the memory for requests.
+var errNoRequestMemory = &rejection{
+	status:     http.StatusServiceUnavailable,
+	reason:     "too many large requests",
+	retryAfter: memoryWait.Seconds(),
+}
+
 // errClientDisconnected is returned when a client disconnects before its answer is sent.
 var errClientDisconnected = errors.New("client disconnected")
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -36,6 +36,8 @@
 	state      state
 	stateSince time.Time
 	answered   int // number of requests answered on this connection
+
+	reservedMemory int64 // request memory that its request holds, in bytes
 }
 
 // setState moves a connection to its next state and sets that state's read deadline.
--- a/internal/downstream/head.go
+++ b/internal/downstream/head.go
@@ -12,6 +12,15 @@
 // so that the complete head can be checked before http.ReadRequest consumes it.
 const maxHead = 8 << 10
 
+// maxFields is the maximum number of header fields of a request: the parsed form of a field takes far more memory than
+// its text.
+const maxFields = 128
+
+var errTooManyFields = &rejection{
+	status: http.StatusRequestHeaderFieldsTooLarge,
+	reason: "the request's head has too many fields",
+}
+
 var errHeadTooLong = &rejection{
 	status: http.StatusRequestHeaderFieldsTooLarge,
 	reason: "the request's head is too long",
@@ -63,7 +72,8 @@
 type headParser struct {
 	started bool // the request line was read
 	http10  bool
-	fields  map[string]bool
+	lines   int             // field lines
+	fields  map[string]bool // the singleton fields that were read
 }
 
 // parseLine checks the next line, without its LF, and reports whether it ends the head.
@@ -107,12 +117,17 @@
 	if !ok || name == "" || strings.ContainsFunc(name, notTokenChar) {
 		return badRequest("malformed field line")
 	}
+	if h.lines++; h.lines > maxFields {
+		return errTooManyFields
+	}
 	name = strings.ToLower(name)
 	value = strings.Trim(value, " \t")
-	if singletonFields[name] && h.fields[name] {
+	if h.fields[name] {
 		return badRequest("%s is repeated", name)
 	}
-	h.fields[name] = singletonFields[name]
+	if singletonFields[name] {
+		h.fields[name] = true
+	}
 	switch name {
 	case "content-length":
 		if value == "" || strings.ContainsFunc(value, notDigit) {
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -1,7 +1,6 @@
 package downstream
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -47,8 +46,8 @@
 	return nil
 }
 
-// parse reads a request of the given class into a job.
-func (s *Server) parse(r *http.Request, name string, class Class) (*Request, error) {
+// parse reads a request of the given class into a job. It drops the request's header.
+func (s *Server) parse(c *conn, r *http.Request, name string, class Class) (*Request, error) {
 	job := &Request{
 		ID:             r.Header.Get("Request-Id"),
 		Class:          name,
@@ -78,7 +77,9 @@
 			return nil, err
 		}
 	}
-	if err := job.readBody(r); err != nil {
+	r.Header = nil // its memory is not needed while the body arrives and while the job waits
+	var err error
+	if job.Body, err = s.readBody(c, r, job.headBytes()); err != nil {
 		return nil, err
 	}
 	job.Arrived = time.Now()
@@ -164,18 +165,13 @@
 	return notBefore, nil
 }
 
-func (r *Request) readBody(httpRequest *http.Request) (err error) {
-	if httpRequest.ContentLength > maxBody {
-		return bodyTooLarge()
+// headBytes returns the memory of what is kept of the request's head.
+func (r *Request) headBytes() int64 {
+	bytes := len(r.ID) + len(r.Tenant) + len(r.URI) + len(r.IdempotencyKey)
+	for _, id := range r.DependsOn {
+		bytes += len(id)
 	}
-	r.Body, err = io.ReadAll(io.LimitReader(httpRequest.Body, maxBody+1))
-	if err != nil {
-		return err
-	}
-	if len(r.Body) > maxBody {
-		return bodyTooLarge()
-	}
-	return nil
+	return int64(bytes)
 }
 
 // delayUntil returns the time from now to a Unix time in seconds, between 0 and maxDelay seconds. It is
--- a/internal/downstream/serve.go
+++ b/internal/downstream/serve.go
@@ -65,7 +65,8 @@
 	if err := c.sendContinue(r); err != nil {
 		return false, err
 	}
-	job, err := s.parse(r, name, class)
+	defer s.releaseMemory(c)
+	job, err := s.parse(c, r, name, class)
 	if err != nil {
 		return false, s.sendRejection(c, err)
 	}
@@ -152,6 +153,11 @@
 	default:
 		rejected = badRequest("malformed request")
 	}
-	answer := Answer{Status: rejected.status, Body: []byte(rejected.reason + "\n"), Allow: rejected.allow}
+	answer := Answer{
+		Status:     rejected.status,
+		Body:       []byte(rejected.reason + "\n"),
+		RetryAfter: rejected.retryAfter,
+		Allow:      rejected.allow,
+	}
 	return s.send(c, answer, true, false)
 }
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -21,6 +21,8 @@
 	backlogAccept      = 5 * time.Millisecond   // for one Accept from the backlog, which another process may empty
 	logInterval        = time.Second            // minimum time between log lines about failed accepts
 
+	memoryLogInterval = time.Minute // minimum time between log lines about the memory for requests
+
 	spareDivisor = 16 // maxConns/spareDivisor more connections are accepted, to answer them with 503
 )
 
@@ -50,16 +52,19 @@
 	newConnGrace       time.Duration // until an unused connection may be evicted; twice that for an incomplete request
 	log                func(format string, args ...any)
 	onCloseWrite       func(net.Conn) // for tests: called just before the sending side of a connection is closed
+	memory             requestMemory
+
+	mu           sync.Mutex
+	maxConns     int
+	conns        map[*conn]bool
+	closing      int           // number of conns in stateClosing or a later state
+	listener     net.Listener  // on which Serve accepts
+	paused       chan struct{} // closed when accepting resumes; nil while not paused
+	serving      bool          // Serve is running
+	stopped      bool
+	yielded      bool      // stopped while paused: another process accepts the backlog
+	memoryLogged time.Time // when it was last logged that requests are rejected for lack of memory
 
-	mu       sync.Mutex
-	maxConns int
-	conns    map[*conn]bool
-	closing  int           // number of conns in stateClosing or a later state
-	listener net.Listener  // on which Serve accepts
-	paused   chan struct{} // closed when accepting resumes; nil while not paused
-	serving  bool          // Serve is running
-	stopped  bool
-	yielded  bool         // stopped while paused: another process accepts the backlog
 	inFlight atomic.Int64 // requests read whose answer is not written yet
 }
 
--- a/internal/service/instance.go
+++ b/internal/service/instance.go
@@ -50,7 +50,9 @@
 func (i *instance) resize() {
 	applyLimits(i.conf, i.processes)
 	budget := splitDescriptors(descriptorBudget(i.conf) / i.processes)
-	i.server.Resize(budget.downstream)
+	clients := limitClients(i.conf, i.processes, budget.downstream)
+	i.server.Resize(clients)
+	i.server.SetRequestMemory(requestBytes(i.conf, i.processes, clients))
 	i.pool.Resize(budget.upstream)
 }
 
--- a/internal/service/limits.go
+++ b/internal/service/limits.go
@@ -35,16 +35,51 @@
 	return time.Duration(value * float64(time.Second))
 }
 
+// Memory of a process, in bytes.
+const (
+	outsideHeapBytes = 15 << 20 // resident beside what the garbage collector limits: the program's file, mostly
+	idleBytes        = 20 << 20 // resident with few connections, and what the collector needs beside them
+	clientBytes      = 28 << 10 // a client's connection with a small request
+	minHeapBytes     = 8 << 20
+	minRequestBytes  = 2 << 20
+	minClients       = 64
+)
+
 // applyLimits sets the runtime's CPU and memory limits. The memory limit is divided among the processes of the
-// dispatcher. The garbage collector's limit is 3/4 of the result, as the platform kills a process that exceeds its
-// memory limit.
+// dispatcher. The garbage collector's limit is 3/4 of the memory, or what is left beside the program's file, as the
+// platform kills a process that exceeds its memory limit.
 func applyLimits(conf *settings.Instance, processes int) {
 	if conf.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
 	}
-	if conf.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(conf.MemoryMB) << 20 * 3 / 4 / int64(processes))
+	if memory := memoryBytes(conf); memory > 0 {
+		heap := min(memory*3/4, memory-outsideHeapBytes) / int64(processes)
+		debug.SetMemoryLimit(max(heap, minHeapBytes))
+	}
+}
+
+// memoryBytes returns the configured memory limit; 0: none.
+func memoryBytes(conf *settings.Instance) int64 { return int64(conf.MemoryMB) << 20 }
+
+// limitClients limits the number of clients' connections to those that fit into a process's part of the memory.
+func limitClients(conf *settings.Instance, processes, descriptors int) int {
+	memory := memoryBytes(conf)
+	if memory == 0 {
+		return descriptors
+	}
+	clients := (memory - idleBytes) / clientBytes / int64(processes)
+	return min(descriptors, max(int(clients), minClients))
+}
+
+// requestBytes returns a process's part of the memory for large requests; 0: no limit. It is half of what is left
+// beside an idle process and the connections of clients, as the garbage collector needs the other half.
+func requestBytes(conf *settings.Instance, processes, clients int) int64 {
+	memory := memoryBytes(conf)
+	if memory == 0 {
+		return 0
 	}
+	left := (memory-idleBytes)/int64(processes) - int64(clients)*clientBytes
+	return max(left/2, minRequestBytes)
 }
 
 // descriptorBudget returns the number of descriptors for clients and workers: the configured number without the
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -69,7 +69,9 @@
 	if err != nil {
 		return err
 	}
-	srv := downstream.NewServer(classes(conf.Settings), loop, options.Phases, budget.downstream, logf)
+	clients := limitClients(conf, 1, budget.downstream)
+	srv := downstream.NewServer(classes(conf.Settings), loop, options.Phases, clients, logf)
+	srv.SetRequestMemory(requestBytes(conf, 1, clients))
 	srv.AcceptDependencies = options.Deferred != nil
 	inst := newInstance(configPath, conf, loop, &options)
 	inst.server = srv
