Answers to unsound requests and to repeated health checks are paced

While hundreds of connections sent requests that are rejected at once, and came back, usual clients waited 0.36 s and 5 % got 503, half of them beside other busy processes (trials).

Cause: such clients wait for nothing but the rejection, some 0.1 ms of the core each, so 11,700 a second took all of it; each step of a usual job waited behind hundreds of goroutines, and dials to workers timed out.

Change: these answers are spread to 1,000 a second after a burst of 100; so are health checks after the first on a connection, apart. What the module answers is not held back, nor 408. A connection that waits does not count against the limit of clients and ends early when new ones wait.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -18,6 +18,7 @@
 	stateClosing                     // was idle and is to end, unless a request was received first
 	stateEvicted                     // was reading and is to end, unless its request is complete
 	stateLingering                   // the sending side is closed: received bytes are discarded
+	stateRejected                    // its request is unsound, and the answer, which ends it, is paced
 )
 
 // closing reports whether a connection in this state is to end.
@@ -31,13 +32,15 @@
 	firstRequestBy time.Time // deadline for the first request; zero once it has been received
 	overCapacity   bool      // accepted beyond maxConns: its request is rejected
 	discarded      bool      // received bytes were discarded: no further request can be read
+	healthChecks   int       // number of health checks on this connection
 
 	// Guarded by Server.mu.
 	state      state
 	stateSince time.Time
 	answered   int // number of requests answered on this connection
 
-	reservedMemory int64 // request memory that its request holds, in bytes
+	released       chan struct{} // closed when its paced answer is to be sent early; nil unless it waits for that
+	reservedMemory int64         // request memory that its request holds, in bytes
 }
 
 // setState moves a connection to its next state and sets that state's read deadline.
@@ -77,6 +80,7 @@
 		c.SetReadDeadline(c.stateSince.Add(lingerTimeout))
 	case stateClosing, stateEvicted:
 		// requestClose has set the deadline.
+	case stateRejected: // nothing is read any more
 	}
 }
 
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -90,7 +90,7 @@
 }
 
 // freeDescriptor frees a file descriptor: it closes a connection that has lingered for at least lingerMinimum. If
-// there is none, it evicts a connection, unless some connection is being closed already, which will free a
+// there is none, it makes connections with unsound requests end, or evicts a connection, unless some connection is being closed already, which will free a
 // descriptor soon. The caller holds mu.
 func (s *Server) freeDescriptor() {
 	for c := range s.conns {
@@ -99,7 +99,7 @@
 			return
 		}
 	}
-	if s.closing == 0 {
+	if !s.releaseRejected() && s.closing == 0 {
 		s.evict()
 	}
 }
--- a/internal/downstream/serve.go
+++ b/internal/downstream/serve.go
@@ -89,6 +89,7 @@
 		answer = Answer{Status: http.StatusOK, Body: []byte("ok\n")}
 	}
 	c.firstRequestBy = time.Time{}
+	s.paceHealthCheck(c)
 	closing := s.phase.Ending() || r.Close
 	return !closing, s.send(c, answer, closing, r.Method == http.MethodHead)
 }
@@ -153,6 +154,9 @@
 	default:
 		rejected = badRequest("malformed request")
 	}
+	if rejected.isPaced() {
+		s.paceRejection(c)
+	}
 	answer := Answer{
 		Status:     rejected.status,
 		Body:       []byte(rejected.reason + "\n"),
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -53,6 +53,8 @@
 	log                func(format string, args ...any)
 	onCloseWrite       func(net.Conn) // for tests: called just before the sending side of a connection is closed
 	memory             requestMemory
+	rejections         pacer
+	healthChecks       pacer // those on connections that had one before
 
 	mu           sync.Mutex
 	maxConns     int
