A request is not sent on once its client's end has arrived, read or not

Cause: a client's end was known only once all bytes before it had been read, beside the loop, which may decide earlier.

Change: Request.Disconnected also asks the socket whether its end has arrived; it is asked on arrival, when an attempt starts and right before the first byte.

--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -30,6 +30,25 @@
 	return err == nil && quiet
 }
 
+// PeerClosed reports whether the peer has closed or reset a connection, or has ended its sending, even if bytes that it
+// sent before are unread. It does not block, and may be called while another goroutine reads. A connection that is not
+// a socket, or is closed on this side, does not count as closed by the peer.
+func PeerClosed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		closed = pollEvents(int(fd), unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && closed
+}
+
 // HasBacklog reports whether a listener's backlog holds a connection that Accept would return at once. It does not
 // block, and may be called while another goroutine accepts. A listener that is not a socket, or is closed, has none.
 func HasBacklog(l net.Listener) bool {
@@ -41,19 +60,25 @@
 	if err != nil {
 		return false
 	}
-	ready := 0
+	ready := false
 	err = raw.Control(func(fd uintptr) {
-		ready = pollReadable(int(fd))
+		ready = pollEvents(int(fd), unix.POLLIN) != 0
 	})
-	return err == nil && ready > 0
+	return err == nil && ready
 }
 
-// pollReadable returns 1 if a descriptor is readable now, 0 if it is not, and -1 if that can't be determined.
-func pollReadable(fd int) int {
+// pollEvents returns those of the events, and of errors and hang-ups, that a descriptor has now. It returns 0 if that
+// can't be determined.
+func pollEvents(fd int, events int16) int16 {
 	for {
-		ready, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		if err != unix.EINTR { //nolint:errorlint // Poll returns a plain Errno
-			return ready
+		descriptors := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		ready, err := unix.Poll(descriptors, 0)
+		switch {
+		case err == unix.EINTR: //nolint:errorlint // Poll returns a plain Errno
+			continue
+		case err != nil || ready <= 0:
+			return 0
 		}
+		return descriptors[0].Revents
 	}
 }
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -97,6 +97,9 @@
 		d.reject(in)
 		return
 	}
+	if in.Disconnected() { // nobody waits for an answer, and nothing was sent
+		return
+	}
 	if !d.acceptID(in.ID) {
 		d.rejectUsedID(in)
 		return
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -90,8 +90,8 @@
 }
 
 // freeDescriptor frees a file descriptor: it closes a connection that has lingered for at least lingerMinimum. If
-// there is none, it makes connections with unsound requests end, or evicts a connection, unless some connection is being closed already, which will free a
-// descriptor soon. The caller holds mu.
+// there is none, it makes connections with unsound requests end. If there is none of these either, it evicts a
+// connection, unless some connection is being closed already, which will free a descriptor soon. The caller holds mu.
 func (s *Server) freeDescriptor() {
 	for c := range s.conns {
 		if c.state == stateLingering && time.Since(c.stateSince) >= lingerMinimum {
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -31,14 +31,21 @@
 	// the handler and whose client has not disconnected. It does not block.
 	Answer       func(Answer)
 	disconnected atomic.Bool
+	peerClosed   func() bool // asks the connection whether the client has closed it; nil: not known
 }
 
 // MarkDisconnected records that the client has disconnected. It may be called repeatedly and from any goroutine.
 func (r *Request) MarkDisconnected() { r.disconnected.Store(true) }
 
-// Disconnected reports whether MarkDisconnected was called. From then on the request must not be sent to a
-// worker, even if the handler has not processed ClientDisconnected yet. It may be called from any goroutine.
-func (r *Request) Disconnected() bool { return r.disconnected.Load() }
+// Disconnected reports whether MarkDisconnected was called, or the client has closed the connection although bytes
+// that it sent before are unread. From then on the request must not be sent to a worker, even if the handler has not
+// processed ClientDisconnected yet. It may be called from any goroutine.
+func (r *Request) Disconnected() bool {
+	if !r.disconnected.Load() && r.peerClosed != nil && r.peerClosed() {
+		r.MarkDisconnected()
+	}
+	return r.disconnected.Load()
+}
 
 // Class holds the settings of a request class that this package uses.
 type Class struct {
--- a/internal/downstream/serve.go
+++ b/internal/downstream/serve.go
@@ -109,6 +109,7 @@
 func (s *Server) awaitAnswer(c *conn, job *Request) (Answer, error) {
 	answers := make(chan Answer, 1)
 	job.Answer = func(a Answer) { answers <- a }
+	job.peerClosed = func() bool { return connstate.PeerClosed(c.Conn) }
 	s.setState(c, stateAwaitingAnswer)
 	clientGone := make(chan error, 1)
 	go func() {
