Files of job ids are copied and read in parts, whatever their size

What callers would see: found while measuring. At 20,000 fresh ids a second the file of a process has some 20 MB within the longest deadline; taking over such a file, or dropping the old ids of it, read it whole, which does not fit at 32 MB.

Change: both copy from file to file; a file that was taken over stays until this process has read it, 256 KiB a call.

--- a/internal/handoff/statedir/jobids.go
+++ b/internal/handoff/statedir/jobids.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -38,13 +39,13 @@
 	mark      int64     // position in the file
 	folder    folderWatch
 	others    map[uint64]*jobIDFile // files of other processes, by process ID
-	unread    [][]byte              // of files that have been removed
 }
 
 // jobIDFile is how much of another process's file was read.
 type jobIDFile struct {
-	info   fs.FileInfo // of the file that was read last; a process may replace its file
-	offset int64
+	info    fs.FileInfo // of the file that was read last; a process may replace its file
+	offset  int64
+	adopted bool // its process has ended, and its IDs are in this process's file
 }
 
 func newJobIDLog(path string, ownID uint64, errors *errorLog) *jobIDLog {
@@ -121,14 +122,22 @@
 	l.errors.log("remove old job IDs", l.compactIfDue(time.Now()))
 }
 
-func (l *jobIDLog) append(lines []byte) error {
-	if l.file == nil {
-		f, err := os.OpenFile(jobIDPath(l.path, l.ownID), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return err
-		}
+// open opens this process's file unless it is open.
+func (l *jobIDLog) open() error {
+	if l.file != nil {
+		return nil
+	}
+	f, err := os.OpenFile(jobIDPath(l.path, l.ownID), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err == nil {
 		l.file = f
 	}
+	return err
+}
+
+func (l *jobIDLog) append(lines []byte) error {
+	if err := l.open(); err != nil {
+		return err
+	}
 	n, err := l.file.Write(lines)
 	l.size += int64(n)
 	return err
@@ -151,16 +160,12 @@
 
 // compact replaces the file by one without the IDs before mark.
 func (l *jobIDLog) compact() error {
-	content, err := os.ReadFile(l.file.Name())
-	if err != nil {
-		return err
-	}
 	f, err := os.CreateTemp(l.path, temporaryPattern)
 	if err != nil {
 		return err
 	}
-	kept := content[min(l.mark, int64(len(content))):]
-	if _, err = f.Write(kept); err == nil {
+	kept, err := copyFrom(f, l.file.Name(), l.mark)
+	if err == nil {
 		err = os.Rename(f.Name(), l.file.Name())
 	}
 	f.Close()
@@ -169,9 +174,22 @@
 		return err
 	}
 	l.file.Close()
-	l.file, err = os.OpenFile(jobIDPath(l.path, l.ownID), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	l.size = int64(len(kept))
-	return err
+	l.file = nil
+	l.size = kept
+	return l.open()
+}
+
+// copyFrom appends the content of a file from an offset on, and returns its length.
+func copyFrom(to io.Writer, path string, offset int64) (int64, error) {
+	from, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer from.Close()
+	if _, err := from.Seek(offset, io.SeekStart); err != nil {
+		return 0, err
+	}
+	return io.Copy(to, from)
 }
 
 func (l *jobIDLog) read() []string {
@@ -189,10 +207,6 @@
 		}
 		l.list() // the process that removed a file has copied its IDs to a file of its own
 	}
-	for _, content := range l.unread {
-		ids = append(ids, splitJobIDs(content)...)
-	}
-	l.unread = nil
 	return ids
 }
 
@@ -220,10 +234,19 @@
 		}
 		l.errors.log("read job IDs", err)
 		ids = append(ids, splitJobIDs(content)...)
+		if other.adopted && len(content) == 0 {
+			l.remove(id)
+		}
 	}
 	return ids, complete
 }
 
+// remove removes the file of a process that has ended and whose IDs were read here.
+func (l *jobIDLog) remove(id uint64) {
+	os.Remove(jobIDPath(l.path, id))
+	delete(l.others, id)
+}
+
 // readNew returns the complete lines that have been added since the last call.
 func (j *jobIDFile) readNew(path string) ([]byte, error) {
 	f, err := os.Open(path)
@@ -258,40 +281,47 @@
 }
 
 // adopt takes over the file of a process that has ended: its IDs are published as this process's own, for processes
-// that start later, and returned by the next call of read. The file is removed after that.
+// that start later. The file is removed once this process has read it.
 func (l *jobIDLog) adopt(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed {
-		return
-	}
-	path := jobIDPath(l.path, id)
 	other := l.others[id]
 	if other == nil {
 		other = &jobIDFile{}
 		l.others[id] = other
 	}
-	for {
-		content, err := other.readNew(path)
-		if errors.Is(err, fs.ErrNotExist) {
-			delete(l.others, id)
-			return
-		}
-		if err != nil || len(content) == 0 {
-			l.errors.log("read job IDs", err)
-			break
-		}
-		l.unread = append(l.unread, content)
+	if l.closed || other.adopted {
+		return
 	}
-	content, err := os.ReadFile(path)
-	if err == nil && len(splitJobIDs(content)) > 0 {
-		err = l.append(content[:bytes.LastIndexByte(content, '\n')+1])
+	err := l.appendFile(id)
+	if errors.Is(err, fs.ErrNotExist) {
+		delete(l.others, id)
+		return
 	}
 	l.errors.log("take over job IDs", err)
-	if err == nil {
-		os.Remove(path)
-		delete(l.others, id)
+	other.adopted = err == nil
+	if info, statErr := os.Stat(jobIDPath(l.path, id)); other.adopted && statErr == nil && info.Size() == other.offset {
+		l.remove(id)
+	}
+}
+
+// appendFile appends the IDs of another process to this process's file. An incomplete line is completed: an ID that
+// was never accepted is harmless.
+func (l *jobIDLog) appendFile(id uint64) error {
+	path := jobIDPath(l.path, id)
+	info, err := os.Stat(path)
+	if err != nil || info.Size() <= 1 { // nothing but an announcement
+		return err
+	}
+	if err := l.open(); err != nil {
+		return err
+	}
+	n, err := copyFrom(l.file, path, 0)
+	l.size += n
+	if err != nil {
+		return err
 	}
+	return l.append([]byte{'\n'})
 }
 
 // close ends publishing. The file is removed unless another process is running, which has to read it to its end and
