--- a/cmd/bellstream/idle_test.go
+++ b/cmd/bellstream/idle_test.go
@@ -35,12 +35,7 @@
 	if testing.Short() {
 		t.Skip("links the program")
 	}
-	path := filepath.Join(t.TempDir(), "bellstream")
-	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, ".")
-	build.Env = append(os.Environ(), "CGO_ENABLED=1")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("go build: %v: %s", err, out)
-	}
+	path := buildProgram(t)
 	f, err := elf.Open(path)
 	if err != nil {
 		t.Fatal(err)
