Outcomes of ended jobs are kept by memory, unless the operator's file sets their number

With a waiting block, 100 connections with fresh ids at full speed took the process from 17 to 59 MB of 64 within 15 s, for good; at 32 MB it would have been killed.

Cause: 100,000 outcomes of some 400 bytes were kept for 60 s, whatever the memory.

Change: at most 256 for each MB of memory_mb, unless the block sets ended.

--- a/internal/service/build.go
+++ b/internal/service/build.go
@@ -134,12 +134,12 @@
 
 func (b *builder) startDeferred() error {
 	if b.file.Deferred != nil {
-		limits, err := b.file.DeferredLimits()
+		limits, err := deferredLimits(b.file, b.conf)
 		if err != nil {
 			return err
 		}
 		b.options.Deferred = deferred.New(limits)
-		b.subsystems.add(deferredSubsystem{b.subsystems})
+		b.subsystems.add(deferredSubsystem{b.subsystems, b.conf})
 		b.register(newDeferredCollector(b.subsystems.stats))
 	}
 	b.subsystems.add(maxWaitSubsystem{b.subsystems, b.conf})
