A voter's status does not name a leader whose connection has ended since it was published

Cause: the loop answers first and publishes its status at the end of its turn; what is read between is older.

Change: Node.Leader and Node.Status look at the connection when they are called.

--- a/internal/cluster/consensus/status.go
+++ b/internal/cluster/consensus/status.go
@@ -43,12 +43,23 @@
 // name is empty if no leader is known.
 func (n *Node) Leader() (name, addr string, term uint64) {
 	s := n.status.Load()
+	if n.lostLeader(s) {
+		return "", "", s.Term
+	}
 	return s.Leader, s.LeaderAddress, s.Term
 }
 
+// lostLeader reports whether the connection with the leader in a status has ended since the loop published it.
+func (n *Node) lostLeader(s *Status) bool {
+	return s.Leader != "" && s.Leader != s.Name && n.transport.connectionTo(s.Leader) == nil
+}
+
 // Status returns the node's status. It does not wait for the loop.
 func (n *Node) Status() Status {
 	s := *n.status.Load()
+	if n.lostLeader(&s) {
+		s.Leader, s.LeaderAddress = "", ""
+	}
 	s.Drops = dropCounts(&n.drops)
 	s.SentBytes = n.transport.sentBytes.Load()
 	for _, c := range n.transport.connectedVoters() {
