The test of ids at later processes has descriptors for its clients and waits for an id to be in use

Change: 1,024 descriptors; the test sends an id again until it is answered 409 before it asks the other process. The check is the same.

--- a/cmd/bellstream/sameid_test.go
+++ b/cmd/bellstream/sameid_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -18,7 +19,7 @@
 	for n := range workers {
 		hosts = append(hosts, fmt.Sprintf(`{"host":"s%d","dial":%q,"site":"z","health":"active"}`, n, target))
 	}
-	conf := fmt.Sprintf(sampleConfig, discovery, target)
+	conf := strings.Replace(fmt.Sprintf(sampleConfig, discovery, target), `"sockets":128`, `"sockets":1024`, 1)
 	from, to := strings.Index(conf, `{"host":"s"`), strings.Index(conf, `]}`)
 	return conf[:from] + strings.Join(hosts, ",") + conf[to:]
 }
@@ -53,13 +54,23 @@
 	for _, c := range clients[:workers/2] {
 		c.Close()
 	}
-	wiretest.Until(t, "the waiting jobs to be accepted", func() bool {
-		c := dial(t, addr)
-		defer c.Close()
-		io.WriteString(c, jobWithID(fmt.Sprint("j", jobs-1)))
-		got, _ := c.Status(t)
-		return got == 409
-	})
+	// waitUntilAccepted waits until an id, which was sent before, is in use.
+	waitUntilAccepted := func(id string) {
+		t.Helper()
+		wiretest.Until(t, "the id "+id+" to be in use", func() bool {
+			c := dial(t, addr)
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(time.Second)) // this one may be the one that is accepted
+			io.WriteString(c, jobWithID(id))
+			answer, err := http.ReadResponse(c.Reader, nil)
+			if err != nil {
+				return false
+			}
+			answer.Body.Close()
+			return answer.StatusCode == 409
+		})
+	}
+	waitUntilAccepted(fmt.Sprint("j", jobs-1))
 	checkRejected := func(what string) {
 		t.Helper()
 		for n := range jobs {
@@ -80,7 +91,10 @@
 		t.Errorf("the second process was ready after %v beside a stopped one, want at most 5 s", took)
 	}
 	checkRejected("second process, first one stopped")
-	io.WriteString(dial(t, addr), jobWithID("new"))
+	fresh := dial(t, addr)
+	defer fresh.Close()
+	io.WriteString(fresh, jobWithID("new"))
+	waitUntilAccepted("new")
 	old.Process.Signal(syscall.SIGCONT)
 	io.WriteString(kept, jobWithID("new"))
 	if got, _ := kept.Status(t); got != 409 {
