A new process accepts nothing until it knows the ids of the earlier ones

Cause: if no process is ready all accept; only becoming ready waited for the ids of an earlier build.

Change: what is awaited is part of the view of the folder, for earlier processes only. Until it is there, or 0.5 s after its start, a process neither accepts nor leads.

--- a/cmd/bellstream/sameid_test.go
+++ b/cmd/bellstream/sameid_test.go
@@ -13,6 +13,9 @@
 	"example.org/bellstream/internal/lab/wiretest"
 )
 
+// heldUp is how long a process may be held up, by the operators' page.
+const heldUp = 150 * time.Millisecond
+
 // manyWorkers returns a configuration with workers that all have the target's address.
 func manyWorkers(discovery, target string, workers int) string {
 	var hosts []string
@@ -126,7 +129,7 @@
 }
 
 // A new process knows the ids that an earlier build beside it has accepted, which that build publishes only once it
-// has noticed the new process. BELLSTREAM_EARLIER names its executable.
+// has noticed the new process, also if it is held up then. BELLSTREAM_EARLIER names its executable.
 func TestIDsOfEarlierBuildAreKnown(t *testing.T) {
 	earlier := os.Getenv("BELLSTREAM_EARLIER")
 	if earlier == "" {
@@ -142,6 +145,8 @@
 	defer c.Close()
 	io.WriteString(c, jobWithID("j"))
 	wiretest.Get(t, target.Calls, "the job")
+	old.Process.Signal(syscall.SIGSTOP)
+	time.AfterFunc(heldUp, func() { old.Process.Signal(syscall.SIGCONT) })
 	next := s.start()
 	next.waitUntilReady(t)
 	for range 200 {
@@ -156,3 +161,54 @@
 	old.waitForLog(t, "yielding")
 	next.stop(t)
 }
+
+// A process that is held up while others start beside it must not make them accept an id that is open there, nor
+// accept one that they have accepted meanwhile.
+func TestIDsAreKnownBesideAProcessThatIsHeldUp(t *testing.T) {
+	const rounds = 5
+	target, discovery := wiretest.NewTarget(t), wiretest.NewDiscovery(t)
+	s := newSite(t, manyWorkers(discovery.Addr, target.Addr, 8))
+	addr := s.listener.Addr().String()
+	old := s.start()
+	old.waitUntilReady(t)
+	runs := map[string]int{}
+	for round := range rounds {
+		id := fmt.Sprint("j", round)
+		open := dial(t, addr)
+		defer open.Close()
+		io.WriteString(open, jobWithID(id))
+		runs[wiretest.Get(t, target.Calls, "the job").Req.Header.Get("Request-Id")]++
+		old.Process.Signal(syscall.SIGSTOP)
+		resumed := make(chan struct{})
+		time.AfterFunc(heldUp, func() { old.Process.Signal(syscall.SIGCONT); close(resumed) })
+		began := time.Now()
+		next := s.start()
+		next.waitUntilReady(t)
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("the new process was ready after %v, want at most 5 s", took)
+		}
+		for range 100 {
+			again := dial(t, addr)
+			again.SetDeadline(time.Now().Add(2 * time.Second))
+			io.WriteString(again, jobWithID(id))
+			if got, _ := again.Status(t); got != 409 {
+				t.Fatalf("round %d: the id of a running job got status %d, want 409", round, got)
+			}
+			again.Close()
+		}
+		<-resumed
+		old.waitForLog(t, "yielding")
+		old.Process.Kill()
+		old.Wait()
+		old = next
+	}
+	for len(target.Calls) > 0 {
+		runs[(<-target.Calls).Req.Header.Get("Request-Id")]++
+	}
+	for id, n := range runs {
+		if n > 1 {
+			t.Errorf("job %s was sent %d times", id, n)
+		}
+	}
+	old.stop(t)
+}
--- a/internal/handoff/statedir/jobids.go
+++ b/internal/handoff/statedir/jobids.go
@@ -95,21 +95,19 @@
 // ended. If there are many, further calls return the rest.
 func (m *Membership) ReadJobIDs() []string { return m.jobIDs.read() }
 
-// OthersPublishJobIDs reports whether each other running process has published the IDs that it knows. Builds before
-// AnnounceJobIDs do so once they notice another process, unless they know none.
-func (m *Membership) OthersPublishJobIDs() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// awaitsJobIDs reports whether a running process that joined earlier has published nothing. Builds before
+// AnnounceJobIDs publish once they notice another process, unless they know no ID. The caller holds mu.
+func (m *Membership) awaitsJobIDs() bool {
 	for _, process := range m.processes {
-		if process.ID == m.id {
+		if process.ID >= m.id {
 			continue
 		}
 		info, err := os.Stat(m.jobIDPath(process.ID))
 		if err != nil || info.Size() == 0 {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func (l *jobIDLog) publish(lines []byte) {
--- a/internal/handoff/statedir/jobids_test.go
+++ b/internal/handoff/statedir/jobids_test.go
@@ -92,16 +92,18 @@
 }
 
 // A process that knows no IDs is distinguished from one that has not published them yet.
-func TestOthersPublishJobIDs(t *testing.T) {
+func TestAwaitsJobIDs(t *testing.T) {
 	r := newTestDirectory(t)
 	a, b := r.join(), r.join()
-	refresh(b)
-	if b.OthersPublishJobIDs() {
-		t.Error("the other process has published nothing")
+	if !refresh(b).AwaitsJobIDs {
+		t.Error("the earlier process has published nothing, and is not waited for")
+	}
+	if refresh(a).AwaitsJobIDs {
+		t.Error("the earlier process waits for the later one")
 	}
 	a.AnnounceJobIDs()
-	if got := readAll(b); !b.OthersPublishJobIDs() || len(got) > 0 {
-		t.Errorf("the other process has announced that it has no IDs, got %q", got)
+	if got := readAll(b); refresh(b).AwaitsJobIDs || len(got) > 0 {
+		t.Errorf("the earlier process has announced that it has no IDs, got %q", got)
 	}
 }
 
--- a/internal/handoff/statedir/statedir.go
+++ b/internal/handoff/statedir/statedir.go
@@ -104,6 +104,7 @@
 	OperatorState  *handoff.OperatorState
 	IsLeader       bool // whether this process accepts new clients
 	OtherProcesses int  // number of other running processes
+	AwaitsJobIDs   bool // an earlier process has not published the IDs that it knows
 }
 
 func (m *Membership) view() View {
@@ -111,6 +112,7 @@
 		OperatorState:  m.operatorState,
 		IsLeader:       handoff.IsLeader(m.id, m.processes),
 		OtherProcesses: len(m.processes) - 1,
+		AwaitsJobIDs:   m.awaitsJobIDs(),
 	}
 }
 
--- a/internal/service/process_group.go
+++ b/internal/service/process_group.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/bellstream/internal/dispatcher"
@@ -20,8 +21,8 @@
 	pollSlow = 50 * time.Millisecond
 )
 
-// maxIDWait bounds the time for which a process that can serve waits for the ids of another one: pollSlow, and the
-// time for which a process may be held up.
+// maxIDWait bounds the time for which a new process waits for the ids of earlier ones: pollSlow, and the time for which
+// a process may be held up.
 const maxIDWait = 500 * time.Millisecond
 
 // processGroup applies operators' commands to the loop and shares them with the other processes of the same
@@ -35,7 +36,8 @@
 	state *handoff.OperatorState // used only without a state directory
 
 	otherProcesses int
-	idsAwaitedTo   time.Time // when this process stops waiting for ids of others; zero until it can serve
+	joinedAt       time.Time
+	knowsIDs       atomic.Bool // this process does not wait any more for the ids of earlier ones
 	done           chan struct{}
 	wg             sync.WaitGroup
 }
@@ -49,6 +51,7 @@
 		loop:     loop,
 		instance: inst,
 		state:    &handoff.OperatorState{},
+		joinedAt: time.Now(),
 		done:     make(chan struct{}),
 	}
 	tmp := os.Getenv("TMPDIR")
@@ -105,25 +108,19 @@
 	switch {
 	case phase >= dispatcher.Retiring:
 		g.member.SetState(handoff.Draining)
-	case phase > dispatcher.Starting && g.knowsOthersIDs():
+	case phase > dispatcher.Starting && g.knowsIDs.Load():
 		g.member.SetState(handoff.Ready)
 	}
 }
 
-// knowsOthersIDs reports whether the other processes have published the ids of their requests, or have had the time
-// to. Processes publish each id before they use it. Only builds that begin once they notice another process, and
-// processes without any ids, are waited for.
-func (g *processGroup) knowsOthersIDs() bool {
-	if g.idsAwaitedTo.IsZero() {
-		g.idsAwaitedTo = time.Now().Add(maxIDWait)
-	}
-	return g.member.OthersPublishJobIDs() || time.Now().After(g.idsAwaitedTo)
-}
-
 // adopt applies the shared state. Accepting is paused first: when the loop logs that another process leads, this
-// process no longer accepts connections.
+// process no longer accepts connections. Processes publish each id before they use it; only for builds that begin once
+// they notice another process, and for processes without any ids, a new one waits before it accepts or leads.
 func (g *processGroup) adopt(view statedir.View) {
-	g.instance.server.Pause(!view.IsLeader)
+	if !view.AwaitsJobIDs || time.Since(g.joinedAt) > maxIDWait {
+		g.knowsIDs.Store(true)
+	}
+	g.instance.server.Pause(!view.IsLeader || !g.knowsIDs.Load())
 	g.loop.ApplyOperatorState(view.OperatorState, view.IsLeader)
 	if view.OtherProcesses == g.otherProcesses {
 		return
