--- a/cmd/bellstream/badclients_test.go
+++ b/cmd/bellstream/badclients_test.go
@@ -70,19 +70,22 @@
 	b.wg.Wait()
 }
 
-// peakMemory returns the largest resident size that a process has had, in kB.
-func peakMemory(t *testing.T, pid int) int {
+// memoryKB returns a size in the status of a process, VmRSS or VmHWM (the largest VmRSS so far), in kB.
+func memoryKB(t *testing.T, pid int, key string) int {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := regexp.MustCompile(`VmHWM:\s*(\d+) kB`).FindSubmatch(status)
+	m := regexp.MustCompile(key + `:\s*(\d+) kB`).FindSubmatch(status)
 	if m == nil {
-		t.Fatalf("no VmHWM in %s", status)
+		t.Fatalf("no %s in %s", key, status)
 	}
-	peak, _ := strconv.Atoi(string(m[1]))
-	return peak
+	size, err := strconv.Atoi(string(m[1]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return size
 }
 
 // serveJobs answers the jobs that come to a target.
@@ -180,7 +183,7 @@
 				}
 				usual.Close()
 			}
-			if peak := peakMemory(t, cmd.Process.Pid); peak > c.memoryMB<<10 {
+			if peak := memoryKB(t, cmd.Process.Pid, "VmHWM"); peak > c.memoryMB<<10 {
 				t.Errorf("peak of %d kB resident, want at most %d", peak, c.memoryMB<<10)
 			} else {
 				t.Logf("peak of %d kB resident", peak)
--- a/cmd/bellstream/idle_test.go
+++ b/cmd/bellstream/idle_test.go
@@ -104,14 +104,5 @@
 	addr := waitForLog(t, bufio.NewReader(log), "listens on ")
 	wiretest.Get(t, discovery.calls, "a watch")
 	waitUntilReady(t, addr)
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", idle.Process.Pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := regexp.MustCompile(`VmRSS:\s*(\d+) kB`).FindSubmatch(status)
-	if m == nil {
-		t.Fatalf("no VmRSS in %s", status)
-	}
-	n, _ := strconv.Atoi(string(m[1]))
-	checkLimit("resident while serving", n, maxResidentKB)
+	checkLimit("resident while serving", memoryKB(t, idle.Process.Pid, "VmRSS"), maxResidentKB)
 }
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if !d.acceptID(in.ID) {
-		d.rejectUsedID(in)
+		in.Answer(usedIDAnswer())
 		return
 	}
 	r := d.newRequest(in)
--- a/internal/dispatcher/sharedids.go
+++ b/internal/dispatcher/sharedids.go
@@ -77,9 +77,7 @@
 	return accepted, sent
 }
 
-// rejectUsedID answers a request whose id was used before.
-func (d *Dispatcher) rejectUsedID(in *downstream.Request) { in.Answer(usedIDAnswer()) }
-
+// usedIDAnswer is the answer to a request whose id was used before.
 func usedIDAnswer() downstream.Answer {
 	return downstream.Answer{Status: http.StatusConflict, Body: []byte("this Request-Id was used before\n")}
 }
--- a/internal/service/limits.go
+++ b/internal/service/limits.go
@@ -15,7 +15,7 @@
 	reservedDescriptors = 24 // for the log, the listener, the watch of discovery and the runtime
 	minFreeDescriptors  = 16
 
-	sentIDsPerMB = 2048 // remembered ids of sent requests take up to 5 % of the memory
+	sentIDsPerMB = 2048 // remembered ids of sent requests take up to 8 % of the memory
 
 	defaultDialTimeoutSeconds = 0.25
 	defaultIdleTimeoutSeconds = 15
